--- a/Libraries/LibDataPath/DecideThread.cpp
+++ b/Libraries/LibDataPath/DecideThread.cpp
@@ -71,7 +71,7 @@
         const bool flushed = flush();
         if (busy || !flushed)
             continue;
-        wakeup_.sleep(-1, tickInterval, [this] {
+        wakeup_.sleep({ -1, -1 }, tickInterval, [this] {
             return inputs_.isEmpty() && !stopping_.load()
                 && std::all_of(links_.begin(), links_.end(),
                     [](const WorkerLink& link) { return link.worker->events().isEmpty(); });
--- a/Libraries/LibDataPath/DecideThread.h
+++ b/Libraries/LibDataPath/DecideThread.h
@@ -115,7 +115,7 @@
     std::vector<WorkerLink> links_;
     Base::Ring<DecideInput> inputs_;
     Base::Ring<Flow::SendToPeer> messages_;
-    Wakeup wakeup_;
+    Datagram::Wakeup wakeup_;
     std::atomic<bool> stopping_ { false };
     std::atomic<bool> hasLeft_ { false };
     std::atomic<uint64_t> revision_ { 0 };
--- a/Libraries/LibDataPath/PacketWorker.cpp
+++ b/Libraries/LibDataPath/PacketWorker.cpp
@@ -48,7 +48,7 @@
 {
     while (!stopping_.load(std::memory_order_relaxed)) {
         if (!runOnce())
-            wakeup_.sleep(socket_, idleSleep, [this] { return commands_.isEmpty() && !stopping_.load(); });
+            wakeup_.sleep({ socket_, -1 }, idleSleep, [this] { return commands_.isEmpty() && !stopping_.load(); });
     }
 }
 
--- a/Libraries/LibDataPath/PacketWorker.h
+++ b/Libraries/LibDataPath/PacketWorker.h
@@ -6,10 +6,10 @@
 #include <LibBase/Ring.h>
 #include <LibDataPath/AddressTable.h>
 #include <LibDataPath/BufferPool.h>
-#include <LibDataPath/SendBatch.h>
-#include <LibDataPath/Wakeup.h>
 #include <LibDataPath/WorkItems.h>
 #include <LibDataPath/WorkerCounters.h>
+#include <LibDatagram/SendBatch.h>
+#include <LibDatagram/Wakeup.h>
 #include <array>
 #include <atomic>
 #include <functional>
@@ -22,7 +22,7 @@
 class PacketWorker {
 public:
     /// Datagrams of one system call at most.
-    static constexpr std::size_t batchSize = SendBatch::capacity;
+    static constexpr std::size_t batchSize = Datagram::SendBatch::capacity;
 
     struct Options {
         std::size_t index { 0 };
@@ -84,7 +84,7 @@
     BufferPool pool_;
     Base::Ring<Flow::PacketEvent> events_;
     Base::Ring<SendCommand> commands_;
-    Wakeup wakeup_;
+    Datagram::Wakeup wakeup_;
     std::atomic<bool> stopping_ { false };
     AddressTablePointer table_;
     uint64_t tableVersion_ { 0 };
@@ -101,7 +101,7 @@
     std::array<std::byte, BufferPool::bufferBytes> discarded_ {};
 
     std::array<SendCommand, batchSize> batch_ {};
-    SendBatch sendBatch_;
+    Datagram::SendBatch sendBatch_;
     std::array<std::array<std::byte, Packet::maximumRefusalBytes>, batchSize> refusals_ {};
 };
 
--- a/Libraries/LibDataPath/SendBatch.cpp
+++ b/Libraries/LibDatagram/SendBatch.cpp
@@ -1,4 +1,4 @@
-#include <LibDataPath/SendBatch.h>
+#include <LibDatagram/SendBatch.h>
 
 #include <LibBase/Verify.h>
 #include <arpa/inet.h>
@@ -6,7 +6,7 @@
 #include <cstring>
 #include <netinet/udp.h>
 
-namespace DataPath {
+namespace Datagram {
 
 namespace {
 
--- a/Libraries/LibDataPath/SendBatch.h
+++ b/Libraries/LibDatagram/SendBatch.h
@@ -7,7 +7,7 @@
 #include <span>
 #include <sys/socket.h>
 
-namespace DataPath {
+namespace Datagram {
 
 /// Datagrams to be sent together. Those of one destination and one size travel through the kernel as one message that
 /// is cut into datagrams at its end (UDP_SEGMENT); the order of each destination's datagrams is kept. One thread.
--- a/Libraries/LibDataPath/Wakeup.cpp
+++ b/Libraries/LibDatagram/Wakeup.cpp
@@ -1,4 +1,4 @@
-#include <LibDataPath/Wakeup.h>
+#include <LibDatagram/Wakeup.h>
 
 #include <LibBase/Verify.h>
 #include <array>
@@ -7,7 +7,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-namespace DataPath {
+namespace Datagram {
 
 Wakeup::Wakeup()
     : event_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
@@ -26,10 +26,11 @@
     [[maybe_unused]] const auto written = ::write(event_, &one, sizeof(one));
 }
 
-void Wakeup::wait(int socket, Base::milliseconds atMost) const
+void Wakeup::wait(const Sockets& sockets, Base::milliseconds atMost) const
 {
-    std::array<pollfd, 2> entries { pollfd { .fd = event_, .events = POLLIN, .revents = 0 },
-        pollfd { .fd = socket, .events = POLLIN, .revents = 0 } };
+    std::array<pollfd, 3> entries { pollfd { .fd = event_, .events = POLLIN, .revents = 0 },
+        pollfd { .fd = sockets[0], .events = POLLIN, .revents = 0 },
+        pollfd { .fd = sockets[1], .events = POLLIN, .revents = 0 } };
     ::poll(entries.data(), entries.size(), static_cast<int>(atMost.count()));
     if ((entries[0].revents & POLLIN) != 0) {
         uint64_t count = 0;
--- a/Libraries/LibDataPath/Wakeup.h
+++ b/Libraries/LibDatagram/Wakeup.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <LibBase/Time.h>
+#include <array>
 #include <atomic>
 
-namespace DataPath {
+namespace Datagram {
 
 /// Lets a thread sleep until another has put something into one of its rings. Waking costs a system call only while the
 /// thread sleeps.
@@ -17,19 +18,22 @@
     /// Any thread, after it has pushed.
     void wake();
 
-    /// The owning thread: sleeps until woken, until the socket (if not negative) is readable, or for the given time.
-    /// isIdle is asked once more, so that nothing pushed meanwhile is missed.
+    /// Sockets that a thread may sleep on; negative ones are ignored.
+    using Sockets = std::array<int, 2>;
+
+    /// The owning thread: sleeps until woken, until a socket is readable, or for the given time. isIdle is asked once
+    /// more, so that nothing pushed meanwhile is missed.
     template <typename IsIdle>
-    void sleep(int socket, Base::milliseconds atMost, IsIdle&& isIdle)
+    void sleep(const Sockets& sockets, Base::milliseconds atMost, IsIdle&& isIdle)
     {
         sleeping_.store(true, std::memory_order_seq_cst);
         if (isIdle())
-            wait(socket, atMost);
+            wait(sockets, atMost);
         sleeping_.store(false, std::memory_order_relaxed);
     }
 
 private:
-    void wait(int socket, Base::milliseconds atMost) const;
+    void wait(const Sockets&, Base::milliseconds atMost) const;
 
     std::atomic<bool> sleeping_ { false };
     int event_;
--- /dev/null
+++ b/Libraries/LibEntry/BeliefFeed.cpp
@@ -0,0 +1,146 @@
+#include <LibEntry/BeliefFeed.h>
+
+#include <LibEntry/Events.h>
+#include <LibLog/Log.h>
+#include <platform/RecordDecoder.h>
+#include <thread>
+
+namespace Entry {
+
+namespace {
+
+    using Log::Fields;
+
+    /// A start brings every record at once; a full ring makes the sources wait.
+    constexpr std::size_t ringCapacity = 4096;
+    constexpr Base::milliseconds fullRingPause { 1 };
+
+    void logEvent(const Steering::ConfigurationChanged& event, std::string_view source)
+    {
+        Log::write(Events::configurationInForce,
+            Fields()
+                .add("version", event.configuration->version)
+                .add("revision", event.configuration->revision)
+                .add("routes", event.configuration->routes.size())
+                .add("source", source));
+    }
+
+    void logEvent(const Steering::ServerListed& event, std::string_view source)
+    {
+        const auto& entry = event.entry;
+        Log::write(Events::serverListed,
+            Fields()
+                .add("server", entry.number.value)
+                .add("address", entry.address.toString())
+                .add("service", entry.service)
+                .add("failure_domain", entry.failureDomain)
+                .add("state", entry.state == Steering::ServerState::Ready ? "ready" : "draining")
+                .add("warm_up_left_ms", entry.warmUpLeft.count())
+                .add("started_at_ms", entry.startedAt.count())
+                .add("revision", entry.revision)
+                .add("source", source));
+    }
+
+    void logEvent(const Steering::ServerUnlisted& event, std::string_view source)
+    {
+        Log::write(Events::serverUnlisted, Fields().add("server", event.number.value).add("source", source));
+    }
+
+    void logEvent(const Steering::DomainEvacuation& event, std::string_view source)
+    {
+        Log::write(Events::domainEvacuated,
+            Fields()
+                .add("failure_domain", event.failureDomain)
+                .add("evacuated", event.isEvacuated)
+                .add("source", source));
+    }
+
+    void logEvent(const Steering::PeerListed& event, std::string_view source)
+    {
+        Log::write(Events::peerListed,
+            Fields()
+                .add("peer", event.peer.endpoint().toString())
+                .add("failure_domain", event.failureDomain)
+                .add("source", source));
+    }
+
+    void logEvent(const Steering::PeerUnlisted& event, std::string_view source)
+    {
+        Log::write(Events::peerUnlisted, Fields().add("peer", event.peer.endpoint().toString()).add("source", source));
+    }
+
+    void logEvent(const Steering::BeliefsSynchronized&, std::string_view) { }
+    void logEvent(const Steering::StoreReachable&, std::string_view) { }
+
+}
+
+BeliefFeed::BeliefFeed(Options options)
+    : options_(std::move(options))
+    , events_(ringCapacity)
+{
+}
+
+void BeliefFeed::push(Steering::BeliefEvent event)
+{
+    while (!events_.tryPush(event)) {
+        options_.wake();
+        std::this_thread::sleep_for(fullRingPause);
+    }
+}
+
+void BeliefFeed::applyRecord(const Mirror::Record& record, std::string_view source)
+{
+    auto event = Base::capture([&] { return Platform::decodeRecord(record); });
+    if (!event.isOk()) {
+        refusedRecords_.fetch_add(1, std::memory_order_relaxed);
+        Log::write(Events::recordRefused,
+            Fields()
+                .add("key", record.key)
+                .add("revision", record.revision)
+                .add("error", event.error.detail)
+                .add("source", source));
+        // An entry that cannot be read names no backend server to use, whatever it named before.
+        if (const auto number = Platform::serverNumberOfKey(record.key))
+            push(Steering::ServerUnlisted { .number = *number });
+        return;
+    }
+    if (!*event.value)
+        return;
+    std::visit([&](const auto& typed) { logEvent(typed, source); }, **event.value);
+    push(std::move(**event.value));
+}
+
+void BeliefFeed::apply(const Mirror::ChangeBatch& batch, std::string_view source)
+{
+    const std::scoped_lock lock(mutex_);
+    const bool wasSynchronized = mirror_.isSynchronized();
+    for (const auto& record : mirror_.apply(batch))
+        applyRecord(record, source);
+    if (!wasSynchronized && mirror_.isSynchronized()) {
+        push(Steering::BeliefsSynchronized {});
+        Log::write(Events::beliefsComplete,
+            Fields().add("revision", mirror_.revision()).add("records", mirror_.size()).add("source", source));
+    }
+    revision_.store(mirror_.revision(), std::memory_order_release);
+    synchronized_.store(mirror_.isSynchronized(), std::memory_order_release);
+    options_.wake();
+}
+
+void BeliefFeed::setStoreReachable(bool isReachable, std::string_view detail)
+{
+    if (storeReachable_.exchange(isReachable) == isReachable)
+        return;
+    const std::scoped_lock lock(mutex_);
+    Log::write(isReachable ? Events::storeRegained : Events::storeLost,
+        Fields().add("detail", detail).add("revision", mirror_.revision()));
+    push(Steering::StoreReachable { .isReachable = isReachable });
+    options_.wake();
+}
+
+Mirror::ChangeBatch BeliefFeed::changesAfter(uint64_t revision, std::size_t maximumBytes) const
+{
+    const std::scoped_lock lock(mutex_);
+    return mirror_.changesAfter(revision, maximumBytes);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/CatchUpThread.cpp
@@ -0,0 +1,109 @@
+#include <LibEntry/CatchUpThread.h>
+
+#include <LibEntry/Events.h>
+#include <LibLog/Log.h>
+#include <LibMirror/RelayMessage.h>
+#include <LibPeer/QueryClient.h>
+
+namespace Entry {
+
+namespace {
+
+    /// The store itself usually tells within some milliseconds; asking a peer costs more bytes.
+    constexpr Base::milliseconds graceForStore { 200 };
+    constexpr Base::milliseconds answerTimeout { 500 };
+    constexpr Base::milliseconds pauseWhileEmpty { 250 };
+    constexpr Base::milliseconds pauseWhenCurrent { 5000 };
+    /// Answers are cut into parts of about 128 KiB; one large record may be a megabyte.
+    constexpr std::size_t maximumAnswerBytes = std::size_t { 4 } * 1024 * 1024;
+
+}
+
+CatchUpThread::CatchUpThread(const EntrySettings& settings, BeliefFeed& feed)
+    : settings_(settings)
+    , feed_(feed)
+{
+}
+
+void CatchUpThread::start()
+{
+    worker_.start([this] { run(); });
+}
+
+void CatchUpThread::notePeer(Base::EntryVmId peer, uint64_t revision)
+{
+    if (revision <= feed_.revision())
+        return;
+    {
+        const std::scoped_lock lock(mutex_);
+        if (revision <= newestRevision_)
+            return;
+        newestRevision_ = revision;
+        newestPeer_ = peer;
+    }
+    worker_.wake();
+}
+
+Base::EntryVmId CatchUpThread::nextPeer()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        if (newestRevision_ > feed_.revision())
+            return newestPeer_;
+    }
+    const auto& seeds = settings_.control.seeds;
+    if (feed_.isSynchronized() || seeds.empty())
+        return {};
+    const auto seed = seeds[nextSeed_++ % seeds.size()];
+    return seed == settings_.control.endpoint ? Base::EntryVmId {} : Base::EntryVmId::fromEndpoint(seed);
+}
+
+void CatchUpThread::run()
+{
+    worker_.pause(graceForStore);
+    while (!worker_.isStopping()) {
+        const auto peer = nextPeer();
+        if (peer.isValid()) {
+            worker_.pause(graceForStore);
+            const bool isStillBehind = nextPeer().isValid();
+            if (!isStillBehind || worker_.isStopping())
+                continue;
+            if (fetchFrom(peer))
+                continue;
+            // Another peer's report will name it again.
+            const std::scoped_lock lock(mutex_);
+            newestRevision_ = 0;
+        }
+        worker_.pause(feed_.isSynchronized() ? pauseWhenCurrent : pauseWhileEmpty);
+    }
+}
+
+bool CatchUpThread::fetchFrom(Base::EntryVmId peer)
+{
+    const auto source = peer.endpoint().toString();
+    const auto before = feed_.revision();
+    const auto result = Base::captureError([&]() -> Base::ErrorOr<void> {
+        TRY_ASSIGN(client,
+            Peer::QueryClient::create({ .endpoint = peer.endpoint(),
+                .keys = settings_.control.keys,
+                .timeout = answerTimeout,
+                .maximumFrameBytes = maximumAnswerBytes }));
+        uint64_t after = feed_.isSynchronized() ? feed_.revision() : 0;
+        for (;;) {
+            TRY_ASSIGN(answer, client.ask(Peer::Channel::Query, Mirror::encodeQuestion({ .after = after })));
+            TRY_ASSIGN(part, Mirror::decodeBatch(answer));
+            feed_.apply(part, source);
+            if (!part.hasMore)
+                return {};
+            after = part.upTo;
+        }
+    });
+    if (result) {
+        Log::write(Events::peerSilent, Log::Fields().add("peer", source).add("error", result->detail));
+        return false;
+    }
+    Log::write(Events::caughtUp, Log::Fields().add("peer", source).add("from", before).add("to", feed_.revision()));
+    return feed_.revision() > before;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -0,0 +1,87 @@
+#include <LibEntry/EntryMetrics.h>
+
+namespace Entry {
+
+using Metrics::raiseTo;
+
+EntryMetrics::EntryMetrics()
+    : forwarded_(registry_.counter("eelgrasshatch_packets_forwarded_total", "Packets sent to backend servers."))
+    , firstPackets_(registry_.counter("eelgrasshatch_first_packets_total", "Flows that callers asked for."))
+    , copies_(registry_.counter("eelgrasshatch_first_packet_copies_total", "Repeated first packets of callers."))
+    , reoffers_(registry_.counter(
+          "eelgrasshatch_reoffers_total", "First packets offered to a further backend server before the caller asked."))
+    , opened_(registry_.counter("eelgrasshatch_flows_opened_total", "Flows whose handshake was completed."))
+    , neverOpened_(registry_.counter("eelgrasshatch_flows_never_opened_total", "Flows without a completed handshake."))
+    , resets_(registry_.counter("eelgrasshatch_resets_total", "Resets sent to callers."))
+    , malformed_(registry_.counter("eelgrasshatch_packets_malformed_total", "Datagrams that are no packet."))
+    , sendFailures_(registry_.counter("eelgrasshatch_send_failures_total", "Datagrams the kernel did not take."))
+    , reportsSent_(registry_.counter("eelgrasshatch_load_reports_sent_total", "Load reports to peers."))
+    , reportsIgnored_(registry_.counter("eelgrasshatch_load_reports_ignored_total",
+          "Load reports of strangers, malformed or overtaken by a newer one."))
+    , recordsRefused_(
+          registry_.counter("eelgrasshatch_records_refused_total", "Records of the store that could not be read."))
+    , flows_(registry_.gauge("eelgrasshatch_flows", "Flows whose progress is followed."))
+    , servers_(registry_.gauge("eelgrasshatch_backend_servers", "Backend servers known, departed ones included."))
+    , peers_(registry_.gauge("eelgrasshatch_peers", "Other entry VMs known."))
+    , revision_(registry_.gauge("eelgrasshatch_store_revision", "Revision of the store that is held."))
+    , storeReachable_(registry_.gauge("eelgrasshatch_store_reachable", "1 while the store answers."))
+{
+    for (std::size_t index = 0; index < refused_.size(); ++index) {
+        const auto reason = static_cast<Steering::Refusal>(index);
+        refused_[index] = &registry_.counter("eelgrasshatch_packets_refused_total",
+            "Packets that were not forwarded, by reason.", { { "reason", std::string(toString(reason)) } });
+    }
+    for (std::size_t index = 0; index < chosen_.size(); ++index) {
+        const auto tier = static_cast<Steering::ChoiceTier>(index);
+        chosen_[index] = &registry_.counter("eelgrasshatch_choices_total",
+            "Backend servers chosen for first packets, by how good the choice was.",
+            { { "tier", std::string(toString(tier)) } });
+    }
+    for (std::size_t call = 0; call < storeCallCount; ++call) {
+        for (std::size_t outcome = 0; outcome < Platform::storeOutcomeCount; ++outcome) {
+            storeCalls_[call][outcome] = &registry_.counter("eelgrasshatch_store_calls_total", "Calls to the store.",
+                { { "call", std::string(toString(static_cast<StoreCall>(call))) },
+                    { "outcome", std::string(toString(static_cast<Platform::StoreOutcome>(outcome))) } });
+        }
+    }
+}
+
+Base::ErrorOr<void> EntryMetrics::serve(const Base::Ipv4Endpoint& endpoint)
+{
+    TRY(registry_.serve(endpoint));
+    return {};
+}
+
+void EntryMetrics::update(const PacketFigures& figures, const StoreCounters& store, const BeliefFeed& feed)
+{
+    const auto& steering = figures.steering;
+    raiseTo(forwarded_, static_cast<double>(steering.forwarded));
+    raiseTo(firstPackets_, static_cast<double>(steering.firstPackets));
+    raiseTo(copies_, static_cast<double>(steering.copies));
+    raiseTo(reoffers_, static_cast<double>(steering.reoffers));
+    raiseTo(opened_, static_cast<double>(steering.opened));
+    raiseTo(neverOpened_, static_cast<double>(steering.neverOpened));
+    raiseTo(resets_, static_cast<double>(steering.resets));
+    raiseTo(malformed_, static_cast<double>(figures.malformed));
+    raiseTo(sendFailures_, static_cast<double>(figures.sendFailures));
+    raiseTo(reportsSent_, static_cast<double>(figures.reportsSent));
+    raiseTo(reportsIgnored_, static_cast<double>(figures.reportsIgnored));
+    raiseTo(recordsRefused_, static_cast<double>(feed.refusedRecords()));
+    for (std::size_t index = 0; index < refused_.size(); ++index)
+        raiseTo(*refused_[index], static_cast<double>(steering.refused[index]));
+    for (std::size_t index = 0; index < chosen_.size(); ++index)
+        raiseTo(*chosen_[index], static_cast<double>(steering.chosen[index]));
+    for (std::size_t call = 0; call < storeCallCount; ++call) {
+        for (std::size_t outcome = 0; outcome < Platform::storeOutcomeCount; ++outcome) {
+            const auto total = store.total(static_cast<StoreCall>(call), static_cast<Platform::StoreOutcome>(outcome));
+            raiseTo(*storeCalls_[call][outcome], static_cast<double>(total));
+        }
+    }
+    flows_.Set(static_cast<double>(figures.flows));
+    servers_.Set(static_cast<double>(figures.servers));
+    peers_.Set(static_cast<double>(figures.peers));
+    revision_.Set(static_cast<double>(feed.revision()));
+    storeReachable_.Set(feed.isStoreReachable() ? 1 : 0);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <LibEntry/PacketThread.h>
+#include <LibEntry/StoreCounters.h>
+#include <LibMetrics/Registry.h>
+
+namespace Entry {
+
+/// Serves the figures of entryd to Prometheus.
+class EntryMetrics {
+public:
+    EntryMetrics();
+
+    /// Unavailable when the endpoint cannot be bound.
+    Base::ErrorOr<void> serve(const Base::Ipv4Endpoint&);
+    /// Takes over the figures of the other threads.
+    void update(const PacketFigures&, const StoreCounters&, const BeliefFeed&);
+
+private:
+    Metrics::Registry registry_;
+    std::array<prometheus::Counter*, Steering::refusalCount> refused_ {};
+    std::array<prometheus::Counter*, 3> chosen_ {};
+    std::array<std::array<prometheus::Counter*, Platform::storeOutcomeCount>, storeCallCount> storeCalls_ {};
+    prometheus::Counter& forwarded_;
+    prometheus::Counter& firstPackets_;
+    prometheus::Counter& copies_;
+    prometheus::Counter& reoffers_;
+    prometheus::Counter& opened_;
+    prometheus::Counter& neverOpened_;
+    prometheus::Counter& resets_;
+    prometheus::Counter& malformed_;
+    prometheus::Counter& sendFailures_;
+    prometheus::Counter& reportsSent_;
+    prometheus::Counter& reportsIgnored_;
+    prometheus::Counter& recordsRefused_;
+    prometheus::Gauge& flows_;
+    prometheus::Gauge& servers_;
+    prometheus::Gauge& peers_;
+    prometheus::Gauge& revision_;
+    prometheus::Gauge& storeReachable_;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/Events.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/// Log events of entryd: 5000 to 5999.
+
+#include <LibLog/Event.h>
+#include <array>
+
+namespace Entry::Events {
+
+using Log::Event;
+using Log::Level;
+
+inline constexpr Event flowPlaced { 5001, "flow_placed", Level::Debug,
+    "A flow's first packet was sent to a backend server; the fields tell what decided the choice." };
+inline constexpr Event flowOffered { 5002, "flow_offered_again", Level::Info,
+    "The first backend server gave no sign of life in time, or the caller sent a copy; another one gets the flow." };
+inline constexpr Event flowOpened { 5003, "flow_opened_late", Level::Info,
+    "A flow that was offered to several backend servers opened at this one." };
+inline constexpr Event flowRefused { 5004, "flow_refused", Level::Info,
+    "A packet was not forwarded; reason is the counter's name." };
+inline constexpr Event readinessChanged { 5010, "readiness_changed", Level::Info,
+    "Callers may, or may no longer, be sent to this entry VM; isolated: no backend server answers." };
+inline constexpr Event leaving { 5011, "leaving", Level::Info, "A stop was asked for; open flows are still served." };
+inline constexpr Event left { 5012, "left", Level::Info, "No packets came any more, or the time was up." };
+inline constexpr Event processPaused { 5013, "process_paused", Level::Warning,
+    "This process did not run for a while; what it believes may be old." };
+inline constexpr Event configurationInForce { 5020, "configuration_in_force", Level::Info,
+    "A newer configuration was taken over; source says from whom." };
+inline constexpr Event serverListed { 5021, "backend_server_listed", Level::Info,
+    "A backend server registered or changed its entry." };
+inline constexpr Event serverUnlisted { 5022, "backend_server_unlisted", Level::Info,
+    "A backend server's entry is gone." };
+inline constexpr Event domainEvacuated { 5023, "domain_evacuation", Level::Info,
+    "Operators took a failure domain out, or took it back." };
+inline constexpr Event recordRefused { 5024, "record_refused", Level::Warning,
+    "A record of the store could not be read; it names nothing that is used." };
+inline constexpr Event peerListed { 5025, "peer_listed", Level::Info, "Another entry VM registered." };
+inline constexpr Event peerUnlisted { 5026, "peer_unlisted", Level::Info, "Another entry VM's registration ended." };
+inline constexpr Event beliefsComplete { 5027, "beliefs_complete", Level::Info,
+    "The store's records have been read as a whole; source says from whom." };
+inline constexpr Event storeLost { 5030, "store_lost", Level::Warning,
+    "The store does not answer this entry VM; what is known stays in force." };
+inline constexpr Event storeRegained { 5031, "store_regained", Level::Info, "The store answers again." };
+inline constexpr Event historyGone { 5032, "store_history_gone", Level::Info,
+    "The store no longer has the changes asked for; everything is read anew." };
+inline constexpr Event registered { 5033, "registered", Level::Info, "This entry VM is listed in the store." };
+inline constexpr Event registrationFailed { 5034, "registration_failed", Level::Warning,
+    "This entry VM could not be listed, or its lease could not be renewed; it is tried again." };
+inline constexpr Event caughtUp { 5035, "caught_up_from_peer", Level::Info,
+    "A peer held newer records than the store had told; they were taken over." };
+inline constexpr Event peerSilent { 5036, "peer_gave_no_records", Level::Warning,
+    "A peer was asked for records and did not give them." };
+
+/// All events of this area, in the order of their numbers.
+inline constexpr std::array all { flowPlaced, flowOffered, flowOpened, flowRefused, readinessChanged, leaving, left,
+    processPaused, configurationInForce, serverListed, serverUnlisted, domainEvacuated, recordRefused, peerListed,
+    peerUnlisted, beliefsComplete, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp,
+    peerSilent };
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -0,0 +1,315 @@
+#include <LibEntry/PacketThread.h>
+
+#include <LibEntry/Events.h>
+#include <LibEntry/FlowLog.h>
+#include <LibLog/Log.h>
+#include <LibPeer/Sockets.h>
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <ctime>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Entry {
+
+namespace {
+
+    /// Packets wait in the socket while the processor's share is used up; this is a second of a busy machine's packets.
+    constexpr int receiveBufferBytes = 2 * 1024 * 1024;
+    constexpr std::size_t maximumReportBytes = 65'000;
+    /// Work lasts 15 to 20 ms and servers have two slots: older counts say little about the next choice. Peers in other
+    /// failure domains matter only once the own domain is full, and their bytes are priced.
+    constexpr Base::milliseconds nearReportInterval { 100 };
+    constexpr Base::milliseconds farReportInterval { 200 };
+    constexpr Base::milliseconds publishInterval { 1000 };
+    /// The longest time the thread sleeps without a timer of its own.
+    constexpr Base::milliseconds longestSleep { 100 };
+    /// A loop that takes longer was not only busy: the process did not run.
+    constexpr Base::milliseconds pauseThreshold { 1500 };
+
+    uint64_t startSequence()
+    {
+        // Reports of a restarted process must look newer than those before; a million reports a second never come.
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<uint64_t>(std::chrono::duration_cast<Base::microseconds>(sinceEpoch).count());
+    }
+
+}
+
+/// Memory for one batch of packets, allocated once.
+struct PacketThread::Buffers {
+    std::array<std::array<std::byte, bufferBytes>, batchSize> packets;
+    std::array<std::array<std::byte, Platform::packetHeaderBytes>, batchSize> resets;
+    std::size_t resetCount { 0 };
+    std::array<iovec, batchSize> parts {};
+    std::array<mmsghdr, batchSize> messages {};
+    std::array<std::byte, maximumReportBytes> report;
+};
+
+Base::ErrorOr<std::unique_ptr<PacketThread>> PacketThread::create(
+    const EntrySettings& settings, BeliefFeed& feed, CatchUpThread& catchUp)
+{
+    TRY_ASSIGN(authenticator, Peer::Authenticator::create(settings.control.keys));
+    TRY_ASSIGN(regions, regionsOf(settings));
+    TRY_ASSIGN(dataSocket, Peer::bindUdp(settings.data, false));
+    TRY_ASSIGN(reportSocket, Peer::bindUdp(settings.reports, false));
+    ::setsockopt(dataSocket, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
+    return std::unique_ptr<PacketThread>(
+        new PacketThread(settings, feed, catchUp, std::move(authenticator), dataSocket, reportSocket,
+            { .self = Base::EntryVmId::fromEndpoint(settings.control.endpoint),
+                .failureDomain = settings.failureDomain,
+                .regions = std::move(regions),
+                .warmUpOvershoot = settings.warmUp.overshoot,
+                .warmUpSlack = settings.warmUp.slack,
+                .flowLifetime = settings.limits.flowLifetime,
+                .maximumFlows = settings.limits.maximumFlows,
+                .seed = Base::hashText(settings.name),
+                .onDecision = logFlowDecision }));
+}
+
+PacketThread::PacketThread(const EntrySettings& settings, BeliefFeed& feed, CatchUpThread& catchUp,
+    Peer::Authenticator authenticator, int dataSocket, int reportSocket, Steering::SteeringDecider::Options options)
+    : settings_(settings)
+    , feed_(feed)
+    , catchUp_(catchUp)
+    , authenticator_(std::move(authenticator))
+    , dataSocket_(dataSocket)
+    , reportSocket_(reportSocket)
+    , decider_(options)
+    , buffers_(std::make_unique<Buffers>())
+    , reportSequence_(startSequence())
+{
+    batch_.setSegmentation(false);
+}
+
+PacketThread::~PacketThread()
+{
+    stop();
+    ::close(dataSocket_);
+    ::close(reportSocket_);
+}
+
+void PacketThread::start()
+{
+    worker_.start([this] { run(); });
+}
+
+void PacketThread::stop()
+{
+    worker_.askToStop();
+    wakeup_.wake();
+    worker_.stop();
+}
+
+Base::milliseconds PacketThread::quietFor() const
+{
+    return std::chrono::duration_cast<Base::milliseconds>(std::chrono::steady_clock::now() - lastPacketAt_.load());
+}
+
+PacketFigures PacketThread::figures() const
+{
+    const std::scoped_lock lock(figuresMutex_);
+    return published_;
+}
+
+void PacketThread::run()
+{
+    while (!worker_.isStopping()) {
+        const Base::TimePoint now = std::chrono::steady_clock::now();
+        notePause(now);
+        takeBeliefs(now);
+        const bool wasBusy = takePackets(now);
+        takeReports(now);
+        sendReoffers(now);
+        sendReports(now);
+        publish(now);
+        if (!wasBusy)
+            sleepUntilNextTimer(now);
+    }
+}
+
+void PacketThread::notePause(Base::TimePoint now)
+{
+    const auto gap = now - lastLoop_;
+    if (lastLoop_ != Base::TimePoint {} && gap > pauseThreshold) {
+        Log::write(Events::processPaused,
+            Log::Fields()
+                .add("milliseconds", std::chrono::duration_cast<Base::milliseconds>(gap).count())
+                .add("revision", feed_.revision()));
+    }
+    lastLoop_ = now;
+}
+
+void PacketThread::takeBeliefs(Base::TimePoint now)
+{
+    Steering::BeliefEvent event;
+    while (feed_.tryPop(event))
+        decider_.handle(now, event);
+    if (leaving_.load(std::memory_order_relaxed) && !isStopApplied_) {
+        decider_.stop();
+        isStopApplied_ = true;
+    }
+    const bool isReady = decider_.isReady(now);
+    if (ready_.exchange(isReady) != isReady) {
+        Log::write(Events::readinessChanged,
+            Log::Fields()
+                .add("ready", isReady)
+                .add("isolated", decider_.isIsolated(now))
+                .add("stopping", isStopApplied_)
+                .add("version", decider_.configurationVersion()));
+    }
+}
+
+bool PacketThread::takePackets(Base::TimePoint now)
+{
+    auto& buffers = *buffers_;
+    for (std::size_t index = 0; index < batchSize; ++index) {
+        // Room in front of the packet for the number of its backend server.
+        buffers.parts[index] = { .iov_base = buffers.packets[index].data() + Platform::serverNumberBytes,
+            .iov_len = bufferBytes - Platform::serverNumberBytes };
+        buffers.messages[index].msg_hdr = { .msg_iov = &buffers.parts[index], .msg_iovlen = 1 };
+    }
+    const int received = ::recvmmsg(dataSocket_, buffers.messages.data(), batchSize, MSG_DONTWAIT, nullptr);
+    if (received <= 0)
+        return false;
+    lastPacketAt_.store(now, std::memory_order_relaxed);
+    figures_.received += static_cast<uint64_t>(received);
+    buffers.resetCount = 0;
+    for (int index = 0; index < received; ++index) {
+        const auto place = static_cast<std::size_t>(index);
+        const auto bytes = Platform::serverNumberBytes + buffers.messages[place].msg_len;
+        decidePacket(now, std::span(buffers.packets[place]).first(bytes));
+    }
+    transmit();
+    return true;
+}
+
+void PacketThread::decidePacket(Base::TimePoint now, std::span<std::byte> buffer)
+{
+    const auto packet = buffer.subspan(Platform::serverNumberBytes);
+    const auto view = Platform::decodePacket(packet);
+    if (!view) {
+        ++figures_.malformed;
+        return;
+    }
+    const auto verdict = decider_.decide(now, *view, packet);
+    if (verdict.kind == Steering::VerdictKind::Forward) {
+        Platform::writeServerNumber(buffer.first<Platform::serverNumberBytes>(), verdict.number);
+        Platform::writeToken(packet, verdict.token);
+        batch_.add(verdict.server, buffer);
+    } else if (verdict.kind == Steering::VerdictKind::Reset) {
+        auto& reset = buffers_->resets[buffers_->resetCount++];
+        reset = Platform::encodeReset(*view);
+        // Callers take packets at the port that the fabric sends to.
+        batch_.add({ .address = view->flow.caller.address, .port = settings_.data.port }, reset);
+    }
+}
+
+void PacketThread::transmit() { figures_.sendFailures += batch_.transmit(dataSocket_).failed; }
+
+void PacketThread::takeReports(Base::TimePoint now)
+{
+    for (std::size_t index = 0; index < batchSize; ++index) {
+        auto& buffer = buffers_->report;
+        const auto received = ::recv(reportSocket_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (received < 0)
+            return;
+        const auto bytes = std::span(buffer).first(static_cast<std::size_t>(received));
+        ++figures_.reportsReceived;
+        const bool isAuthentic = bytes.size() > Peer::authenticationCodeBytes
+            && authenticator_.isAuthentic(
+                bytes.subspan(Peer::authenticationCodeBytes), bytes.first(Peer::authenticationCodeBytes));
+        if (!isAuthentic) {
+            ++figures_.reportsIgnored;
+            continue;
+        }
+        const auto report
+            = Base::capture([&] { return Steering::decodeLoadReport(bytes.subspan(Peer::authenticationCodeBytes)); });
+        if (!report.isOk() || !decider_.takeReport(now, *report.value)) {
+            ++figures_.reportsIgnored;
+            continue;
+        }
+        catchUp_.notePeer(report.value->sender, report.value->revision);
+    }
+}
+
+void PacketThread::sendReoffers(Base::TimePoint now)
+{
+    auto reoffers = decider_.handleTimers(now);
+    std::size_t used = 0;
+    for (const auto& reoffer : reoffers) {
+        // Received packets have been sent on by now, so that their buffers are free.
+        auto buffer
+            = std::span(buffers_->packets[used++]).first(Platform::serverNumberBytes + Platform::packetHeaderBytes);
+        const auto packet = buffer.subspan(Platform::serverNumberBytes);
+        std::memcpy(packet.data(), reoffer.bytes.data(), reoffer.bytes.size());
+        Platform::writeServerNumber(buffer.first<Platform::serverNumberBytes>(), reoffer.verdict.number);
+        Platform::writeToken(packet, reoffer.verdict.token);
+        batch_.add(reoffer.verdict.server, buffer);
+        if (used == batchSize) {
+            transmit();
+            used = 0;
+        }
+    }
+    if (used > 0)
+        transmit();
+}
+
+void PacketThread::sendReports(Base::TimePoint now)
+{
+    const bool isNearDue = now >= nextNearReport_;
+    const bool isFarDue = now >= nextFarReport_;
+    if (!isNearDue && !isFarDue)
+        return;
+    if (isNearDue)
+        nextNearReport_ = now + nearReportInterval;
+    if (isFarDue)
+        nextFarReport_ = now + farReportInterval;
+    if (decider_.peers().empty())
+        return;
+    const auto body = Steering::encodeLoadReport({ .sender = Base::EntryVmId::fromEndpoint(settings_.control.endpoint),
+        .sequence = ++reportSequence_,
+        .revision = feed_.revision(),
+        .loads = decider_.ownLoads() });
+    const auto code = authenticator_.sign(body);
+    std::vector<std::byte> datagram(code.begin(), code.end());
+    datagram.insert(datagram.end(), body.begin(), body.end());
+    for (const auto& [id, peer] : decider_.peers()) {
+        const bool isDue = peer.failureDomain == settings_.failureDomain ? isNearDue : isFarDue;
+        if (!isDue)
+            continue;
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(peer.reports.address.value);
+        address.sin_port = htons(peer.reports.port);
+        const auto sent = ::sendto(reportSocket_, datagram.data(), datagram.size(), MSG_DONTWAIT,
+            reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+        ++(sent >= 0 ? figures_.reportsSent : figures_.sendFailures);
+    }
+}
+
+void PacketThread::publish(Base::TimePoint now)
+{
+    if (now < nextPublish_)
+        return;
+    nextPublish_ = now + publishInterval;
+    figures_.steering = decider_.statistics();
+    figures_.flows = decider_.flowCount();
+    figures_.servers = decider_.serverCount();
+    figures_.peers = decider_.peers().size();
+    const std::scoped_lock lock(figuresMutex_);
+    published_ = figures_;
+}
+
+void PacketThread::sleepUntilNextTimer(Base::TimePoint now)
+{
+    auto due = std::min(decider_.nextTimer(now), nextNearReport_);
+    const auto left = std::chrono::ceil<Base::milliseconds>(due - now);
+    const auto atMost = std::clamp(left, Base::milliseconds(1), longestSleep);
+    wakeup_.sleep({ dataSocket_, reportSocket_ }, atMost,
+        [this] { return feed_.isEmpty() && !worker_.isStopping() && leaving_.load() == isStopApplied_; });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/PacketThread.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <LibBase/Error.h>
+#include <LibDatagram/SendBatch.h>
+#include <LibDatagram/Wakeup.h>
+#include <LibEntry/BeliefFeed.h>
+#include <LibEntry/CatchUpThread.h>
+#include <LibEntry/EntrySettings.h>
+#include <LibEntry/Worker.h>
+#include <LibPeer/Authenticator.h>
+#include <LibSteering/SteeringDecider.h>
+#include <platform/PacketCodec.h>
+
+namespace Entry {
+
+/// Figures of the packet thread, for metrics.
+struct PacketFigures {
+    Steering::SteeringStatistics steering;
+    uint64_t received { 0 };
+    uint64_t malformed { 0 };
+    uint64_t sendFailures { 0 };
+    uint64_t reportsSent { 0 };
+    uint64_t reportsReceived { 0 };
+    /// Reports with an unknown key, of an unknown sender, malformed, or overtaken by a newer one.
+    uint64_t reportsIgnored { 0 };
+    std::size_t flows { 0 };
+    std::size_t servers { 0 };
+    std::size_t peers { 0 };
+};
+
+/// Receives packets in batches, decides them and sends them on, all in one thread: with few packets a second for each
+/// processor, every hop to another thread would cost more than the decision.
+class PacketThread {
+public:
+    /// Unavailable when a socket cannot be bound.
+    static Base::ErrorOr<std::unique_ptr<PacketThread>> create(const EntrySettings&, BeliefFeed&, CatchUpThread&);
+    ~PacketThread();
+    PacketThread(const PacketThread&) = delete;
+    PacketThread& operator=(const PacketThread&) = delete;
+
+    void start();
+    void stop();
+    /// Any thread: events are in the feed.
+    void wake() { wakeup_.wake(); }
+    /// Any thread: no new callers from now on.
+    void beginStop() { leaving_.store(true); }
+
+    /// Whether callers may be sent here. Any thread.
+    bool isReady() const { return ready_.load(std::memory_order_relaxed); }
+    /// How long no packet has come. Any thread.
+    Base::milliseconds quietFor() const;
+    /// Figures of about a second ago at most. Any thread.
+    PacketFigures figures() const;
+
+private:
+    static constexpr std::size_t batchSize = 32;
+    static constexpr std::size_t bufferBytes
+        = Platform::serverNumberBytes + Platform::packetHeaderBytes + Platform::packetDataBytes;
+
+    struct Buffers;
+
+    PacketThread(const EntrySettings&, BeliefFeed&, CatchUpThread&, Peer::Authenticator, int dataSocket,
+        int reportSocket, Steering::SteeringDecider::Options);
+
+    void run();
+    void takeBeliefs(Base::TimePoint now);
+    /// Whether packets were received.
+    bool takePackets(Base::TimePoint now);
+    void decidePacket(Base::TimePoint now, std::span<std::byte> buffer);
+    void takeReports(Base::TimePoint now);
+    void sendReoffers(Base::TimePoint now);
+    void sendReports(Base::TimePoint now);
+    void sleepUntilNextTimer(Base::TimePoint now);
+    void notePause(Base::TimePoint now);
+    void publish(Base::TimePoint now);
+    void transmit();
+
+    const EntrySettings& settings_;
+    BeliefFeed& feed_;
+    CatchUpThread& catchUp_;
+    Peer::Authenticator authenticator_;
+    int dataSocket_;
+    int reportSocket_;
+    Steering::SteeringDecider decider_;
+    std::unique_ptr<Buffers> buffers_;
+    Datagram::SendBatch batch_;
+    Datagram::Wakeup wakeup_;
+    Worker worker_;
+    std::atomic<bool> leaving_ { false };
+    std::atomic<bool> ready_ { false };
+    std::atomic<Base::TimePoint> lastPacketAt_ { Base::TimePoint {} };
+    bool isStopApplied_ { false };
+    uint64_t reportSequence_ { 0 };
+    Base::TimePoint nextNearReport_ {};
+    Base::TimePoint nextFarReport_ {};
+    Base::TimePoint nextPublish_ {};
+    Base::TimePoint lastLoop_ {};
+    mutable std::mutex figuresMutex_;
+    PacketFigures figures_;
+    PacketFigures published_;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/RegistrationThread.cpp
@@ -0,0 +1,98 @@
+#include <LibEntry/RegistrationThread.h>
+
+#include <LibEntry/Events.h>
+#include <LibLog/Log.h>
+#include <platform/RecordDecoder.h>
+
+namespace Entry {
+
+namespace {
+
+    /// Three renewals in a lease's life: two may be lost.
+    constexpr int renewalsInLifetime = 3;
+    constexpr Base::milliseconds pauseAfterFailure { 1000 };
+
+    void logFailure(StoreCall call, Platform::StoreOutcome outcome, const std::string& detail)
+    {
+        Log::write(Events::registrationFailed,
+            Log::Fields()
+                .add("call", toString(call))
+                .add("outcome", Platform::toString(outcome))
+                .add("detail", detail));
+    }
+
+}
+
+RegistrationThread::RegistrationThread(const EntrySettings& settings, StoreCounters& counters)
+    : settings_(settings)
+    , counters_(counters)
+    , client_({ .store = settings.store.endpoint, .timeout = settings.store.callTimeout })
+{
+}
+
+void RegistrationThread::start()
+{
+    worker_.start([this] { run(); });
+}
+
+void RegistrationThread::run()
+{
+    while (!worker_.isStopping())
+        worker_.pause(step());
+}
+
+bool RegistrationThread::registerAnew()
+{
+    const auto lease = client_.grantLease(settings_.store.leaseTime);
+    counters_.count(StoreCall::Lease, lease.outcome);
+    if (!lease.isOk()) {
+        logFailure(StoreCall::Lease, lease.outcome, lease.detail);
+        return false;
+    }
+    const auto id = Base::EntryVmId::fromEndpoint(settings_.control.endpoint);
+    const Platform::EntryVmRecord record {
+        .id = id, .failureDomain = settings_.failureDomain, .reports = settings_.reports
+    };
+    const auto put = client_.put({ .key = Platform::entryVmKey(id),
+        .value = Platform::encodeEntryVm(record),
+        .lease = lease.value.id,
+        .expectedRevision = std::nullopt });
+    counters_.count(StoreCall::Put, put.outcome);
+    if (!put.isOk()) {
+        logFailure(StoreCall::Put, put.outcome, put.detail);
+        return false;
+    }
+    lease_ = lease.value.id;
+    Log::write(Events::registered,
+        Log::Fields().add("lease", lease_).add("revision", put.value).add("lease_ms", lease.value.lifetime.count()));
+    return true;
+}
+
+Base::milliseconds RegistrationThread::step()
+{
+    const auto betweenRenewals = settings_.store.leaseTime / renewalsInLifetime;
+    if (lease_ == 0)
+        return registerAnew() ? betweenRenewals : pauseAfterFailure;
+    const auto renewed = client_.renewLease(lease_);
+    counters_.count(StoreCall::Renew, renewed.outcome);
+    if (renewed.isOk())
+        return betweenRenewals;
+    logFailure(StoreCall::Renew, renewed.outcome, renewed.detail);
+    if (renewed.outcome != Platform::StoreOutcome::NotFound)
+        return pauseAfterFailure;
+    lease_ = 0;
+    return Base::milliseconds(0);
+}
+
+void RegistrationThread::stop()
+{
+    worker_.stop();
+    if (lease_ == 0)
+        return;
+    const auto ended = client_.endLease(lease_);
+    counters_.count(StoreCall::Lease, ended.outcome);
+    if (!ended.isOk())
+        logFailure(StoreCall::Lease, ended.outcome, ended.detail);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibEntry/StoreCounters.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <platform/StoreClient.h>
+#include <string_view>
+
+namespace Entry {
+
+/// Kinds of calls to the store.
+enum class StoreCall : uint8_t {
+    Read,
+    Watch,
+    Put,
+    Lease,
+    Renew,
+};
+constexpr std::size_t storeCallCount = 5;
+
+constexpr std::string_view toString(StoreCall call)
+{
+    constexpr std::array<std::string_view, storeCallCount> names { "read", "watch", "put", "lease", "renew" };
+    return names[static_cast<std::size_t>(call)];
+}
+
+/// Calls to the store by kind and outcome, since the start. Any thread.
+class StoreCounters {
+public:
+    void count(StoreCall call, Platform::StoreOutcome outcome)
+    {
+        at(call, outcome).fetch_add(1, std::memory_order_relaxed);
+    }
+    uint64_t total(StoreCall call, Platform::StoreOutcome outcome) const
+    {
+        return const_cast<StoreCounters*>(this)->at(call, outcome).load(std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<uint64_t>& at(StoreCall call, Platform::StoreOutcome outcome)
+    {
+        return totals_[static_cast<std::size_t>(call)][static_cast<std::size_t>(outcome)];
+    }
+
+    std::array<std::array<std::atomic<uint64_t>, Platform::storeOutcomeCount>, storeCallCount> totals_ {};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -0,0 +1,159 @@
+#include <LibHttp/HttpClient.h>
+
+#include <LibPeer/Sockets.h>
+#include <array>
+#include <boost/beast/http.hpp>
+#include <cerrno>
+#include <poll.h>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Http {
+
+namespace {
+
+    namespace beast = boost::beast::http;
+    using Base::ErrorCode;
+
+    constexpr std::size_t readBytes = 16384;
+    constexpr unsigned httpVersion = 11;
+
+    beast::verb toVerb(Method method)
+    {
+        switch (method) {
+        case Method::Get:
+            return beast::verb::get;
+        case Method::Post:
+            return beast::verb::post;
+        case Method::Delete:
+            return beast::verb::delete_;
+        }
+        return beast::verb::get;
+    }
+
+    std::string serialize(const Request& request, const Base::Ipv4Endpoint& server)
+    {
+        beast::request<beast::string_body> message(toVerb(request.method), request.target, httpVersion);
+        message.set(beast::field::host, server.toString());
+        message.keep_alive(true);
+        if (!request.body.empty()) {
+            message.set(beast::field::content_type, "application/json");
+            message.body() = request.body;
+        }
+        message.prepare_payload();
+        std::ostringstream text;
+        text << message;
+        return text.str();
+    }
+
+    bool waitFor(int socket, short events, Base::TimePoint deadline)
+    {
+        for (;;) {
+            const auto left = std::chrono::ceil<Base::milliseconds>(deadline - std::chrono::steady_clock::now());
+            if (left <= Base::milliseconds(0))
+                return false;
+            pollfd entry { .fd = socket, .events = events, .revents = 0 };
+            const int ready = ::poll(&entry, 1, static_cast<int>(left.count()));
+            if (ready > 0)
+                return true;
+            if (ready < 0 && errno != EINTR)
+                return false;
+        }
+    }
+
+}
+
+HttpClient::HttpClient(Options options)
+    : options_(options)
+{
+}
+
+HttpClient::~HttpClient() { close(); }
+
+void HttpClient::close()
+{
+    if (socket_ >= 0)
+        ::close(socket_);
+    socket_ = -1;
+}
+
+Base::ErrorOr<void> HttpClient::connect()
+{
+    TRY_ASSIGN(socket, Peer::startConnecting(options_.server));
+    socket_ = socket;
+    const bool inTime = waitFor(socket_, POLLOUT, std::chrono::steady_clock::now() + options_.connectTimeout);
+    if (!inTime || Peer::pendingSocketError(socket_) != 0) {
+        close();
+        return Base::makeError(ErrorCode::Unavailable, options_.server.toString() + ": cannot connect");
+    }
+    return {};
+}
+
+Base::ErrorOr<void> HttpClient::sendAll(std::string_view bytes, Base::TimePoint deadline)
+{
+    while (!bytes.empty()) {
+        const auto sent = ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(sent));
+            continue;
+        }
+        if (errno != EAGAIN && errno != EINTR)
+            return Base::makeError(ErrorCode::Unavailable, "connection closed while sending");
+        if (!waitFor(socket_, POLLOUT, deadline))
+            return Base::makeError(ErrorCode::Unavailable, "not sent in time");
+    }
+    return {};
+}
+
+Base::ErrorOr<Response> HttpClient::receive(Base::TimePoint deadline)
+{
+    beast::response_parser<beast::string_body> parser;
+    parser.body_limit(options_.maximumBodyBytes);
+    parser.eager(true);
+    std::array<char, readBytes> buffer {};
+    std::string pending;
+    while (!parser.is_done()) {
+        if (!waitFor(socket_, POLLIN, deadline))
+            return Base::makeError(ErrorCode::TimedOut, "no answer in time");
+        const auto received = ::recv(socket_, buffer.data(), buffer.size(), 0);
+        if (received < 0 && (errno == EAGAIN || errno == EINTR))
+            continue;
+        boost::system::error_code error;
+        if (received <= 0) {
+            parser.put_eof(error);
+            if (error || !parser.is_done())
+                return Base::makeError(ErrorCode::TimedOut, "connection closed before the answer");
+            break;
+        }
+        pending.append(buffer.data(), static_cast<std::size_t>(received));
+        const auto used = parser.put(boost::asio::buffer(pending), error);
+        pending.erase(0, used);
+        if (error && error != beast::error::need_more)
+            return Base::makeError(ErrorCode::Malformed, "answer: " + error.message());
+    }
+    const bool keepsOpen = parser.get().keep_alive();
+    Response response { .status = parser.get().result_int(), .body = std::move(parser.get().body()) };
+    if (!keepsOpen)
+        close();
+    return response;
+}
+
+Base::ErrorOr<Response> HttpClient::exchange(const std::string& bytes, Base::TimePoint deadline)
+{
+    if (socket_ < 0)
+        TRY(connect());
+    TRY(sendAll(bytes, deadline));
+    return receive(deadline);
+}
+
+Base::ErrorOr<Response> HttpClient::call(const Request& request, Base::milliseconds timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    auto response = exchange(serialize(request, options_.server), deadline);
+    if (!response)
+        close();
+    return response;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/HttpClient.h
@@ -0,0 +1,63 @@
+#pragma once
+
+/// HTTP/1.1 over one kept connection, for threads that may wait. Not thread-safe.
+
+#include <LibBase/Error.h>
+#include <LibBase/Ipv4Endpoint.h>
+#include <LibBase/Time.h>
+#include <cstdint>
+#include <string>
+
+namespace Http {
+
+enum class Method : uint8_t {
+    Get,
+    Post,
+    Delete,
+};
+
+struct Request {
+    Method method { Method::Get };
+    /// Path and query, already encoded.
+    std::string target;
+    /// JSON; empty: no body.
+    std::string body;
+};
+
+struct Response {
+    uint32_t status { 0 };
+    std::string body;
+};
+
+class HttpClient {
+public:
+    struct Options {
+        Base::Ipv4Endpoint server;
+        Base::milliseconds connectTimeout { 1000 };
+        std::size_t maximumBodyBytes { std::size_t { 8 } * 1024 * 1024 };
+    };
+
+    explicit HttpClient(Options);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    /// One call; at most `timeout` passes from its start to the last byte of the answer. Unavailable: the request was
+    /// not sent as a whole. TimedOut, Malformed: it may have been carried out. The connection is made anew after any
+    /// failure.
+    Base::ErrorOr<Response> call(const Request&, Base::milliseconds timeout);
+
+    /// Ends the connection, so that the next call makes a new one.
+    void close();
+
+private:
+    Base::ErrorOr<void> connect();
+    Base::ErrorOr<void> sendAll(std::string_view bytes, Base::TimePoint deadline);
+    Base::ErrorOr<Response> receive(Base::TimePoint deadline);
+    Base::ErrorOr<Response> exchange(const std::string& bytes, Base::TimePoint deadline);
+
+    Options options_;
+    int socket_ { -1 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMirror/Mirror.cpp
@@ -0,0 +1,113 @@
+#include <LibMirror/Mirror.h>
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace Mirror {
+
+namespace {
+
+    /// Deletions remembered for peers that are behind. 3,100 restarts and 5,900 changes a day are about six a minute,
+    /// so this covers hours; a peer further behind gets the whole state.
+    constexpr std::size_t rememberedDeletions = 4096;
+
+}
+
+void Mirror::remove(const std::string& key, uint64_t revision)
+{
+    if (const auto found = records_.find(key); found != records_.end()) {
+        const auto [first, last] = keysByRevision_.equal_range(found->second.revision);
+        keysByRevision_.erase(std::find_if(first, last, [&](const auto& entry) { return entry.second == key; }));
+        records_.erase(found);
+    }
+    deletions_.push_back({ .key = key, .revision = revision, .value = {}, .isDeletion = true });
+    if (deletions_.size() <= rememberedDeletions)
+        return;
+    deletionsKnownAfter_ = deletions_.front().revision;
+    deletions_.pop_front();
+}
+
+void Mirror::put(const Record& record)
+{
+    if (const auto found = records_.find(record.key); found != records_.end()) {
+        const auto [first, last] = keysByRevision_.equal_range(found->second.revision);
+        keysByRevision_.erase(std::find_if(first, last, [&](const auto& entry) { return entry.second == record.key; }));
+    }
+    records_[record.key] = record;
+    keysByRevision_.emplace(record.revision, record.key);
+}
+
+std::vector<Record> Mirror::deletionsForMissing(const ChangeBatch& batch) const
+{
+    std::unordered_set<std::string_view> present;
+    for (const auto& record : batch.records)
+        present.insert(record.key);
+    std::vector<Record> missing;
+    for (const auto& [key, record] : records_) {
+        if (!present.contains(key) && record.revision <= batch.upTo)
+            missing.push_back({ .key = key, .revision = batch.upTo, .value = {}, .isDeletion = true });
+    }
+    return missing;
+}
+
+std::vector<Record> Mirror::apply(const ChangeBatch& batch)
+{
+    if (batch.upTo < revision_ || (!batch.isComplete && batch.after > revision_))
+        return {};
+    std::vector<Record> effective;
+    if (batch.isComplete)
+        effective = deletionsForMissing(batch);
+    for (const auto& record : batch.records) {
+        const auto found = records_.find(record.key);
+        const bool isNewer = found == records_.end() ? record.revision > revision_ || batch.isComplete
+                                                     : record.revision > found->second.revision;
+        if (isNewer && !(record.isDeletion && found == records_.end()))
+            effective.push_back(record);
+    }
+    std::ranges::stable_sort(effective, {}, &Record::revision);
+    for (const auto& record : effective) {
+        if (record.isDeletion)
+            remove(record.key, record.revision);
+        else
+            put(record);
+    }
+    if (batch.isComplete && !synchronized_)
+        deletionsKnownAfter_ = batch.upTo;
+    synchronized_ |= batch.isComplete;
+    revision_ = std::max(revision_, batch.upTo);
+    return effective;
+}
+
+ChangeBatch Mirror::changesAfter(uint64_t revision, std::size_t maximumBytes) const
+{
+    ChangeBatch batch { .after = revision, .upTo = revision_ };
+    if (revision < deletionsKnownAfter_) {
+        batch.after = 0;
+        batch.isComplete = true;
+    }
+    const auto isNewDeletion
+        = [&](const Record& record) { return record.revision > batch.after && !records_.contains(record.key); };
+    if (!batch.isComplete)
+        std::ranges::copy_if(deletions_, std::back_inserter(batch.records), isNewDeletion);
+    std::size_t bytes = 0;
+    uint64_t lastRevision = 0;
+    for (auto entry = keysByRevision_.upper_bound(batch.after); entry != keysByRevision_.end(); ++entry) {
+        // A revision that wrote several keys must not be parted, or the rest of it would be skipped.
+        const bool mayPart = !batch.isComplete && entry->first != lastRevision;
+        if (bytes > maximumBytes && mayPart) {
+            batch.hasMore = true;
+            batch.upTo = lastRevision;
+            break;
+        }
+        const auto& record = records_.at(entry->second);
+        bytes += record.key.size() + record.value.size();
+        lastRevision = entry->first;
+        batch.records.push_back(record);
+    }
+    if (batch.hasMore)
+        std::erase_if(batch.records, [&](const Record& record) { return record.revision > batch.upTo; });
+    std::ranges::stable_sort(batch.records, {}, &Record::revision);
+    return batch;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMirror/RelayMessage.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/// What entry VMs ask each other about the store's records, in msgpack.
+
+#include <LibBase/Error.h>
+#include <LibMirror/Record.h>
+#include <cstddef>
+#include <span>
+
+namespace Mirror {
+
+/// "What has changed after this revision?" A node without any state asks with 0.
+struct RelayQuestion {
+    uint64_t after { 0 };
+};
+
+std::vector<std::byte> encodeQuestion(const RelayQuestion&);
+/// Malformed.
+Base::ErrorOr<RelayQuestion> decodeQuestion(std::span<const std::byte>);
+
+std::vector<std::byte> encodeBatch(const ChangeBatch&);
+/// Malformed, also for records out of the batch's range.
+Base::ErrorOr<ChangeBatch> decodeBatch(std::span<const std::byte>);
+
+}
--- a/Libraries/LibProgram/Program.cpp
+++ b/Libraries/LibProgram/Program.cpp
@@ -4,6 +4,7 @@
 #include <LibLog/Log.h>
 #include <LibLog/ProgramEvents.h>
 #include <cstdio>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
 
@@ -44,11 +45,19 @@
         return *exitCode.value;
     }
 
+    std::string settingsFile(const Options& options, const cxxopts::ParseResult& arguments)
+    {
+        if (arguments.count("settings") > 0)
+            return arguments["settings"].as<std::string>();
+        const char* named = options.settingsVariable.empty() ? nullptr : std::getenv(options.settingsVariable.c_str());
+        return named != nullptr ? named : "";
+    }
+
     int runWithArguments(const Options& options, const cxxopts::ParseResult& arguments, Settings::Schema& schema)
     {
-        if (arguments.count("settings") == 0)
+        const auto file = settingsFile(options, arguments);
+        if (file.empty())
             return failUsage(options, "expected --settings FILE; --help shows all options");
-        const auto file = arguments["settings"].as<std::string>();
         if (const auto error = Base::captureError([&] { return schema.readFile(file); }))
             return failUsage(options, error->detail);
         if (options.checkSettings) {
--- a/Libraries/LibProgram/Program.h
+++ b/Libraries/LibProgram/Program.h
@@ -27,6 +27,8 @@
     std::string version;
     /// One line for --help.
     std::string summary;
+    /// Environment variable that names the settings file when the command line does not; empty: none.
+    std::string settingsVariable {};
     /// The program's own log events, for --events-reference.
     std::vector<Log::Event> events;
     /// Declares the program's keys; called once, before the settings file is read.
--- a/Libraries/LibSettings/Schema.cpp
+++ b/Libraries/LibSettings/Schema.cpp
@@ -103,6 +103,29 @@
         [&target](uint64_t value) { target = Base::milliseconds(value); });
 }
 
+void Schema::addReal(const std::string& path, double& target, RealRange range, Notes notes)
+{
+    std::ostringstream bounds;
+    bounds << range.minimum << " to " << range.maximum;
+    std::ostringstream defaultText;
+    defaultText << target;
+    auto read = [&target, range, bounds = bounds.str()](const Json& value) -> ErrorOr<void> {
+        if (!value.is_number())
+            return makeError(ErrorCode::InvalidArgument, "expected a number, " + bounds);
+        const auto number = value.get<double>();
+        if (number < range.minimum || number > range.maximum)
+            return makeError(ErrorCode::OutOfRange, "expected a number, " + bounds + ", found " + value.dump());
+        target = number;
+        return {};
+    };
+    addField({ .path = path,
+        .type = "number, " + bounds.str(),
+        .defaultText = defaultText.str(),
+        .notes = std::move(notes),
+        .read = std::move(read),
+        .listening = {} });
+}
+
 void Schema::addBoolean(const std::string& path, bool& target, Notes notes)
 {
     auto read = [&target](const Json& value) -> ErrorOr<void> {
--- a/Libraries/LibSettings/Schema.h
+++ b/Libraries/LibSettings/Schema.h
@@ -36,6 +36,12 @@
     uint64_t maximum { std::numeric_limits<uint64_t>::max() };
 };
 
+/// The bounds of a number that need not be whole, both allowed.
+struct RealRange {
+    double minimum { 0 };
+    double maximum { 0 };
+};
+
 /// The keys of one program, bound to the fields of its settings struct. A field's value at the time of declaration is
 /// the key's default. The bound fields must outlive the schema.
 class Schema {
@@ -45,6 +51,8 @@
     void addInteger(const std::string& path, Integer& target, Range range, const Notes& notes);
     /// A number of milliseconds.
     void addMilliseconds(const std::string& path, Base::milliseconds& target, Range, Notes);
+    /// A number that need not be whole.
+    void addReal(const std::string& path, double& target, RealRange, Notes);
     void addBoolean(const std::string& path, bool& target, Notes);
     /// Text of minimum to maximum bytes.
     void addText(const std::string& path, std::string& target, Range lengthRange, Notes);
--- /dev/null
+++ b/Libraries/LibSteering/Connection/FlowTable.cpp
@@ -0,0 +1,48 @@
+#include <LibSteering/Connection/FlowTable.h>
+
+#include <algorithm>
+
+namespace Steering {
+
+bool FlowRecord::wasOfferedTo(BackendServerNumber number) const
+{
+    return std::find(offers.begin(), offers.begin() + offerCount, number) != offers.begin() + offerCount;
+}
+
+FlowRecord* FlowTable::find(const Packet::FlowKey& flow)
+{
+    const auto found = records_.find(flow);
+    return found != records_.end() ? &found->second : nullptr;
+}
+
+FlowRecord* FlowTable::add(Base::TimePoint now, const Packet::FlowKey& flow)
+{
+    // A check of an erased record may still be queued, so that the queue is bounded as well.
+    if (records_.size() >= options_.maximumFlows || checks_.size() >= 2 * options_.maximumFlows)
+        return nullptr;
+    auto& record = records_[flow];
+    record = {};
+    record.firstSeen = now;
+    record.lastSeen = now;
+    checks_.push_back({ .flow = flow, .dueAt = now + options_.checkInterval });
+    return &record;
+}
+
+void FlowTable::erase(const Packet::FlowKey& flow) { records_.erase(flow); }
+
+void FlowTable::check(Base::TimePoint now, const std::function<bool(FlowRecord&)>& keep)
+{
+    while (!checks_.empty() && checks_.front().dueAt <= now) {
+        const auto flow = checks_.front().flow;
+        checks_.pop_front();
+        const auto found = records_.find(flow);
+        if (found == records_.end())
+            continue;
+        if (keep(found->second))
+            checks_.push_back({ .flow = flow, .dueAt = now + options_.checkInterval });
+        else
+            records_.erase(found);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSteering/Events.cpp
@@ -0,0 +1,26 @@
+#include <LibSteering/Events.h>
+
+namespace Steering {
+
+std::string_view toString(Refusal refusal)
+{
+    switch (refusal) {
+    case Refusal::None:
+        return "none";
+    case Refusal::NotSynchronized:
+        return "not_synchronized";
+    case Refusal::NoRoute:
+        return "no_route";
+    case Refusal::NoServer:
+        return "no_server";
+    case Refusal::NoToken:
+        return "no_token";
+    case Refusal::UnknownToken:
+        return "unknown_token";
+    case Refusal::Malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSteering/FlowToken.h
@@ -0,0 +1,49 @@
+#pragma once
+
+/// Stateless steering in the manner of Cheetah (NSDI 2020): the token that travels in every packet of a flow names the
+/// backend server the flow was opened at, so that any balancer forwards any packet with one table lookup.
+
+#include <LibBase/Hash.h>
+#include <compare>
+#include <cstdint>
+#include <functional>
+
+namespace Steering {
+
+/// Names one backend server to the platform for the life of its registration. Zero: none.
+struct BackendServerNumber {
+    uint64_t value { 0 };
+
+    auto operator<=>(const BackendServerNumber&) const = default;
+};
+
+/// What a packet carries to name its backend server. Zero: the packet carries none.
+struct FlowToken {
+    uint32_t value { 0 };
+
+    auto operator<=>(const FlowToken&) const = default;
+    bool isValid() const { return value != 0; }
+
+    /// The same on every node. Servers that share a token are told apart by the service of the packet's route; of two
+    /// in one service, the one with the smaller number alone gets new flows.
+    static FlowToken of(BackendServerNumber number)
+    {
+        const auto folded = static_cast<uint32_t>(Base::mix(number.value));
+        return { folded != 0 ? folded : 1 };
+    }
+};
+
+}
+
+template <>
+struct std::hash<Steering::BackendServerNumber> {
+    std::size_t operator()(const Steering::BackendServerNumber& number) const noexcept
+    {
+        return Base::mix(number.value);
+    }
+};
+
+template <>
+struct std::hash<Steering::FlowToken> {
+    std::size_t operator()(const Steering::FlowToken& token) const noexcept { return Base::mix(token.value); }
+};
--- /dev/null
+++ b/Libraries/LibSteering/Process/PeerLoads.cpp
@@ -0,0 +1,68 @@
+#include <LibSteering/Process/PeerLoads.h>
+
+namespace Steering {
+
+namespace {
+
+    /// Ten lost reports in a row; a request's work rarely lasts longer.
+    constexpr Base::milliseconds reportLifetime { 1000 };
+
+}
+
+void PeerLoads::list(Base::EntryVmId id, std::string failureDomain, Base::Ipv4Endpoint reports)
+{
+    auto& peer = peers_[id];
+    peer.failureDomain = std::move(failureDomain);
+    peer.reports = reports;
+}
+
+void PeerLoads::unlist(Base::EntryVmId id)
+{
+    const auto found = peers_.find(id);
+    if (found == peers_.end())
+        return;
+    subtract(found->second);
+    peers_.erase(found);
+}
+
+void PeerLoads::subtract(Peer& peer)
+{
+    for (const auto& load : peer.loads) {
+        const auto index = servers_.find(load.number);
+        if (!index)
+            continue;
+        auto& counted = servers_.at(*index).peersInProgress;
+        counted -= std::min(counted, load.inProgress);
+    }
+    peer.loads.clear();
+}
+
+bool PeerLoads::take(Base::TimePoint now, const LoadReport& report)
+{
+    const auto found = peers_.find(report.sender);
+    if (found == peers_.end() || report.sequence <= found->second.sequence)
+        return false;
+    auto& peer = found->second;
+    subtract(peer);
+    peer.sequence = report.sequence;
+    peer.revision = report.revision;
+    peer.heardAt = now;
+    for (const auto& load : report.loads) {
+        const auto index = servers_.find(load.number);
+        if (!index)
+            continue;
+        servers_.at(*index).peersInProgress += load.inProgress;
+        peer.loads.push_back(load);
+    }
+    return true;
+}
+
+void PeerLoads::expire(Base::TimePoint now)
+{
+    for (auto& [id, peer] : peers_) {
+        if (!peer.loads.empty() && now - peer.heardAt > reportLifetime)
+            subtract(peer);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSteering/Process/Readiness.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibBase/Time.h>
+#include <cstdint>
+
+namespace Steering {
+
+/// Whether the fabric should send callers here. Not before the beliefs are complete, not after a stop was asked for,
+/// and not while this node reaches no backend server: callers are then better served by another failure domain's entry
+/// VMs.
+class Readiness {
+public:
+    /// A configuration and everything else that the store holds is known.
+    void setComplete() { complete_ = true; }
+    void setStopping() { stopping_ = true; }
+
+    /// A first packet brought no sign of life; inRow: how many in a row, over all backend servers.
+    void noteUnanswered(Base::TimePoint now, uint32_t inRow);
+    void noteAnswered();
+
+    bool isReady(Base::TimePoint now) const { return complete_ && !stopping_ && now >= isolatedUntil_; }
+    bool isIsolated(Base::TimePoint now) const { return now < isolatedUntil_; }
+
+private:
+    bool complete_ { false };
+    bool stopping_ { false };
+    uint32_t answeredWhileIsolated_ { 0 };
+    Base::TimePoint isolatedUntil_ {};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -0,0 +1,177 @@
+#include <LibSteering/Process/ServerTable.h>
+
+#include <algorithm>
+
+namespace Steering {
+
+uint32_t ServerTable::indexOf(std::vector<std::string>& names, const std::string& name) const
+{
+    const auto found = std::ranges::find(names, name);
+    if (found != names.end())
+        return static_cast<uint32_t>(found - names.begin());
+    names.push_back(name);
+    return static_cast<uint32_t>(names.size() - 1);
+}
+
+ServiceIndex ServerTable::serviceIndex(const std::string& name)
+{
+    const auto index = indexOf(services_, name);
+    if (index >= servicesServers_.size())
+        servicesServers_.resize(index + 1);
+    return index;
+}
+
+DomainIndex ServerTable::domainIndex(const std::string& name) { return indexOf(domains_, name); }
+
+std::optional<ServerIndex> ServerTable::find(BackendServerNumber number) const
+{
+    const auto found = byNumber_.find(number);
+    if (found == byNumber_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+std::optional<ServerIndex> ServerTable::resolve(FlowToken token, const std::vector<ServiceIndex>& services) const
+{
+    const auto found = byToken_.find(token);
+    if (found == byToken_.end())
+        return std::nullopt;
+    std::optional<ServerIndex> best;
+    for (const auto index : found->second) {
+        const auto& server = servers_[index];
+        if (std::ranges::find(services, server.service) != services.end() && !server.isShadowed)
+            return index;
+        if (!best || !server.isShadowed)
+            best = index;
+    }
+    return best;
+}
+
+ServerIndex ServerTable::allocate()
+{
+    if (free_.empty()) {
+        servers_.emplace_back();
+        return static_cast<ServerIndex>(servers_.size() - 1);
+    }
+    const auto index = free_.back();
+    free_.pop_back();
+    return index;
+}
+
+void ServerTable::attach(ServerIndex index)
+{
+    const auto& server = servers_[index];
+    servicesServers_[server.service].push_back(index);
+    byToken_[server.token].push_back(index);
+    updateShadows(server.token);
+}
+
+void ServerTable::detach(ServerIndex index)
+{
+    const auto& server = servers_[index];
+    std::erase(servicesServers_[server.service], index);
+    auto& sharers = byToken_[server.token];
+    std::erase(sharers, index);
+    if (sharers.empty())
+        byToken_.erase(server.token);
+    else
+        updateShadows(server.token);
+}
+
+void ServerTable::updateShadows(FlowToken token)
+{
+    const auto& sharers = byToken_[token];
+    for (const auto index : sharers) {
+        auto& server = servers_[index];
+        server.isShadowed = std::ranges::any_of(sharers, [&](ServerIndex other) {
+            return servers_[other].service == server.service
+                && servers_[other].entry.number.value < server.entry.number.value;
+        });
+    }
+}
+
+bool ServerTable::list(Base::TimePoint now, const BackendServerEntry& entry, Base::milliseconds serviceWarmUp)
+{
+    const auto known = find(entry.number);
+    const auto index = known.value_or(0);
+    const bool isKnown = known.has_value();
+    const bool isRestart = isKnown && servers_[index].entry.startedAt != entry.startedAt;
+    auto coldFor = entry.warmUpLeft;
+    if (isRestart)
+        coldFor = std::max(coldFor, serviceWarmUp);
+    const auto place = isKnown ? index : allocate();
+    if (isKnown)
+        detach(place);
+    auto& server = servers_[place];
+    if (!isKnown)
+        server = {};
+    server.entry = entry;
+    server.token = FlowToken::of(entry.number);
+    server.service = serviceIndex(entry.service);
+    server.domain = domainIndex(entry.failureDomain);
+    server.presence = Presence::Listed;
+    server.coldUntil = std::max(server.coldUntil, now + coldFor);
+    if (isRestart) {
+        server.unanswered = 0;
+        server.suspectUntil = {};
+    }
+    byNumber_[entry.number] = place;
+    attach(place);
+    return isRestart;
+}
+
+Presence ServerTable::unlist(Base::TimePoint now, BackendServerNumber number)
+{
+    const auto index = find(number);
+    if (!index)
+        return Presence::Free;
+    auto& server = servers_[*index];
+    // A drained server leaves on purpose; others may have lost their entry because the store was away.
+    const bool mayBeBack = server.entry.state == ServerState::Ready && (!storeReachable_ || now < holdEnds_);
+    if (mayBeBack) {
+        server.presence = Presence::Held;
+        server.presenceEnds = storeReachable_ ? holdEnds_ : Base::TimePoint::max();
+    } else {
+        server.presence = Presence::Retired;
+        server.presenceEnds = now + options_.retention;
+    }
+    return server.presence;
+}
+
+void ServerTable::setStoreReachable(Base::TimePoint now, bool isReachable)
+{
+    if (isReachable == storeReachable_)
+        return;
+    storeReachable_ = isReachable;
+    if (!isReachable)
+        return;
+    holdEnds_ = now + options_.holdAfterReturn;
+    for (auto& server : servers_) {
+        if (server.presence == Presence::Held)
+            server.presenceEnds = holdEnds_;
+    }
+}
+
+void ServerTable::expire(Base::TimePoint now)
+{
+    std::vector<ServerIndex> gone;
+    for (ServerIndex index = 0; index < servers_.size(); ++index) {
+        auto& server = servers_[index];
+        if ((server.presence != Presence::Held && server.presence != Presence::Retired) || now < server.presenceEnds)
+            continue;
+        if (server.presence == Presence::Held) {
+            server.presence = Presence::Retired;
+            server.presenceEnds = now + options_.retention;
+        } else {
+            gone.push_back(index);
+        }
+    }
+    for (const auto index : gone) {
+        detach(index);
+        byNumber_.erase(servers_[index].entry.number);
+        servers_[index] = {};
+        free_.push_back(index);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSteering/Request/ServerChoice.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <LibBase/Random.h>
+#include <LibSteering/Process/DomainReachability.h>
+#include <LibSteering/Process/PeerLoads.h>
+#include <LibSteering/Process/ServerTable.h>
+#include <LibSteering/Process/WarmUpAllowance.h>
+#include <functional>
+#include <string_view>
+#include <unordered_set>
+
+namespace Steering {
+
+/// How good a choice is; lower is better.
+enum class ChoiceTier : uint8_t {
+    /// Warm and, as far as is known, alive.
+    Sound,
+    /// Recent first packets to the server or its failure domain brought no sign of life.
+    Suspect,
+    /// Cold, within the allowance.
+    Cold,
+};
+std::string_view toString(ChoiceTier);
+
+struct Choice {
+    ServerIndex server { 0 };
+    ChoiceTier tier { ChoiceTier::Sound };
+};
+
+/// Chooses the backend server of a new flow: the one with the least work in progress for each of its slots, the own
+/// failure domain first among equals.
+class ServerChoice {
+public:
+    struct Options {
+        std::string failureDomain;
+        uint64_t seed { 1 };
+    };
+
+    ServerChoice(Options, ServerTable&, DomainReachability&, WarmUpAllowance&);
+
+    /// What one choice depends on.
+    struct Question {
+        ServiceIndex service { 0 };
+        double warmUpRequestsPerSecond { 0 };
+        /// Whether the server must not be taken, beyond what this class checks.
+        std::function<bool(const Server&)> isExcluded;
+        const std::vector<Base::EntryVmId>* peers { nullptr };
+    };
+
+    std::optional<Choice> choose(Base::TimePoint now, const Question&);
+    void setEvacuated(const std::string& failureDomain, bool isEvacuated);
+    /// Whether new flows may go to the server at all.
+    bool isUsable(const Server&) const;
+
+private:
+    double cost(const Server&) const;
+    std::optional<Choice> chooseCold(Base::TimePoint now, const Question&);
+
+    ServerTable& servers_;
+    DomainReachability& reachability_;
+    WarmUpAllowance& allowance_;
+    DomainIndex ownDomain_;
+    std::unordered_set<DomainIndex> evacuated_;
+    Base::Random random_;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -0,0 +1,172 @@
+#pragma once
+
+/// The decisions of one entry VM on a fabric that carries flow tokens: where each packet goes, when a first packet is
+/// offered to a second backend server, and whether callers should be sent here at all. No clock, socket or thread
+/// inside: time comes in with each event, actions go out. One thread.
+
+#include <LibSteering/Connection/FlowTable.h>
+#include <LibSteering/Events.h>
+#include <LibSteering/Process/DomainReachability.h>
+#include <LibSteering/Process/PeerLoads.h>
+#include <LibSteering/Process/Readiness.h>
+#include <LibSteering/Process/ServerTable.h>
+#include <LibSteering/Process/WarmUpAllowance.h>
+#include <LibSteering/Request/ServerChoice.h>
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+
+namespace Steering {
+
+/// Totals since the start.
+struct SteeringStatistics {
+    uint64_t forwarded { 0 };
+    uint64_t firstPackets { 0 };
+    /// Copies that callers sent of first packets.
+    uint64_t copies { 0 };
+    /// First packets that this node offered to a further server by itself.
+    uint64_t reoffers { 0 };
+    uint64_t opened { 0 };
+    /// Flows that never opened.
+    uint64_t neverOpened { 0 };
+    uint64_t unanswered { 0 };
+    uint64_t resets { 0 };
+    uint64_t untracked { 0 };
+    std::array<uint64_t, refusalCount> refused {};
+    std::array<uint64_t, 3> chosen {};
+};
+
+/// One decision about a flow, for the log.
+struct FlowDecision {
+    enum class Kind : uint8_t {
+        Placed,
+        Copied,
+        Reoffered,
+        Opened,
+        Refused,
+        NeverOpened,
+    };
+
+    Kind kind { Kind::Placed };
+    Packet::FlowKey flow;
+    uint32_t sequence { 0 };
+    BackendServerNumber server;
+    ChoiceTier tier { ChoiceTier::Sound };
+    Refusal refusal { Refusal::None };
+    uint32_t ownInProgress { 0 };
+    uint32_t peersInProgress { 0 };
+    uint64_t configurationVersion { 0 };
+    /// Since the flow's first packet.
+    Base::microseconds age { 0 };
+};
+std::string_view toString(FlowDecision::Kind);
+
+class SteeringDecider {
+public:
+    struct Options {
+        Base::EntryVmId self;
+        std::string failureDomain;
+        /// Region of each failure domain.
+        std::map<std::string, std::string> regions;
+        double warmUpOvershoot { 1.0 };
+        double warmUpSlack { 0 };
+        Base::milliseconds flowLifetime { 60'000 };
+        std::size_t maximumFlows { 200'000 };
+        uint64_t seed { 1 };
+        /// Called for each decision about a flow; may be empty.
+        std::function<void(const FlowDecision&)> onDecision;
+    };
+
+    explicit SteeringDecider(const Options&);
+    SteeringDecider(const SteeringDecider&) = delete;
+    SteeringDecider& operator=(const SteeringDecider&) = delete;
+
+    void handle(Base::TimePoint now, const BeliefEvent&);
+    /// bytes: the packet as received, kept for a second offer when it opens a flow.
+    Verdict decide(Base::TimePoint now, const PacketView&, std::span<const std::byte> bytes);
+    /// What is due: first packets to be offered again.
+    std::vector<Reoffer> handleTimers(Base::TimePoint now);
+    /// When handleTimers has something to do at the latest.
+    Base::TimePoint nextTimer(Base::TimePoint now) const;
+
+    /// False when the report changed nothing.
+    bool takeReport(Base::TimePoint now, const LoadReport& report) { return peerLoads_.take(now, report); }
+    /// Work in progress that this node has placed.
+    std::vector<ServerLoad> ownLoads();
+    const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers() const { return peerLoads_.peers(); }
+
+    void stop() { readiness_.setStopping(); }
+    bool isReady(Base::TimePoint now) const { return readiness_.isReady(now); }
+    bool isIsolated(Base::TimePoint now) const { return readiness_.isIsolated(now); }
+    uint64_t configurationVersion() const { return configuration_ ? configuration_->version : 0; }
+    const SteeringStatistics& statistics() const { return statistics_; }
+    std::size_t flowCount() const { return flows_.size(); }
+    std::size_t serverCount() const { return servers_.size(); }
+
+private:
+    struct CompiledShare {
+        ServiceIndex service { 0 };
+        uint32_t weight { 1 };
+        double warmUpRequestsPerSecond { 0 };
+    };
+
+    struct CompiledRoute {
+        std::vector<CompiledShare> shares;
+        std::vector<ServiceIndex> services;
+        uint64_t totalWeight { 0 };
+        std::vector<std::string> regions;
+    };
+
+    struct PendingOffer {
+        Packet::FlowKey flow;
+        uint32_t sequence { 0 };
+        FirstPacketBytes bytes {};
+        Base::TimePoint dueAt;
+    };
+
+    void apply(Base::TimePoint now, const ConfigurationChanged&);
+    void apply(Base::TimePoint now, const ServerListed&);
+    void apply(Base::TimePoint now, const ServerUnlisted&);
+    void apply(Base::TimePoint now, const DomainEvacuation&);
+    void apply(Base::TimePoint now, const PeerListed&);
+    void apply(Base::TimePoint now, const PeerUnlisted&);
+    void apply(Base::TimePoint now, const BeliefsSynchronized&);
+    void apply(Base::TimePoint now, const StoreReachable&);
+    CompiledRoute compile(const Route&);
+    void noteCompleteness();
+
+    Verdict decideFirst(Base::TimePoint now, const PacketView&, const CompiledRoute&, std::span<const std::byte> bytes);
+    Verdict decideLater(Base::TimePoint now, const PacketView&, const CompiledRoute&);
+    void open(Base::TimePoint now, FlowRecord&, const PacketView&, const CompiledRoute&);
+    void trackProgress(FlowRecord&, const PacketView&);
+    std::optional<Choice> choose(Base::TimePoint now, const Packet::FlowKey&, const CompiledRoute&, const FlowRecord&);
+    Verdict offer(FlowRecord&, const Choice&);
+    Verdict forwardTo(const Server&);
+    Verdict refuse(const PacketView&, Refusal, VerdictKind);
+    void noteSilence(Base::TimePoint now, const FlowRecord&);
+    std::optional<Reoffer> reoffer(Base::TimePoint now, const PendingOffer&);
+    void release(FlowRecord&);
+    bool keepRecord(Base::TimePoint now, FlowRecord&);
+    void report(FlowDecision::Kind, const Packet::FlowKey&, const FlowRecord&, Base::TimePoint now, const Choice*);
+
+    Options options_;
+    ServerTable servers_;
+    DomainReachability reachability_;
+    WarmUpAllowance allowance_;
+    PeerLoads peerLoads_;
+    ServerChoice choice_;
+    FlowTable flows_;
+    Readiness readiness_;
+    bool isSynchronized_ { false };
+    std::shared_ptr<const Configuration> configuration_;
+    boost::unordered_flat_map<Base::Ipv4Endpoint, CompiledRoute, std::hash<Base::Ipv4Endpoint>> routes_;
+    std::vector<Base::EntryVmId> peerIds_;
+    std::deque<PendingOffer> pendingOffers_;
+    /// Smoothed time from a first packet to the handshake's end.
+    Base::microseconds handshakeTime_;
+    Base::TimePoint nextExpiry_ {};
+    SteeringStatistics statistics_;
+};
+
+}
--- a/Tests/LibDataPath/TestSendBatch.cpp
+++ b/Tests/LibDataPath/TestSendBatch.cpp
@@ -1,5 +1,5 @@
 #include <LibBase/Random.h>
-#include <LibDataPath/SendBatch.h>
+#include <LibDatagram/SendBatch.h>
 #include <LibPeer/Sockets.h>
 #include <catch2/catch.hpp>
 #include <unistd.h>
@@ -30,9 +30,9 @@
     std::vector<int> receivers { bindSocket(), bindSocket(), bindSocket() };
     std::vector<std::vector<std::vector<std::byte>>> expected(receivers.size());
     std::vector<std::vector<std::byte>> datagrams;
-    DataPath::SendBatch batch;
+    Datagram::SendBatch batch;
     batch.setSegmentation(segmentation);
-    for (std::size_t index = 0; index < DataPath::SendBatch::capacity; ++index) {
+    for (std::size_t index = 0; index < Datagram::SendBatch::capacity; ++index) {
         const std::size_t sizes[] = { 40, 40, 40, 128, 1400 };
         datagrams.emplace_back(sizes[random.below(5)], static_cast<std::byte>(index));
     }
@@ -68,7 +68,7 @@
     const int sender = bindSocket();
     const int receiver = bindSocket();
     const std::vector<std::byte> datagram(100, std::byte { 3 });
-    DataPath::SendBatch batch;
+    Datagram::SendBatch batch;
     for (int round = 0; round < 3; ++round) {
         batch.add(Peer::localEndpoint(receiver), datagram);
         batch.add(Peer::localEndpoint(receiver), datagram);
@@ -87,7 +87,7 @@
     const int receiver = bindSocket();
     const std::vector<std::byte> datagram(100, std::byte { 3 });
     const Base::Ipv4Endpoint broadcast { { 0xFFFFFFFF }, 9 };
-    DataPath::SendBatch batch;
+    Datagram::SendBatch batch;
     batch.add(broadcast, datagram);
     batch.add(Peer::localEndpoint(receiver), datagram);
     const auto result = batch.transmit(sender);
