LibSteering, LibEntry: Leave without a gap, try a silent failure domain one first packet at a time

Cause: at a planned stop the process waited up to 2.9 s for its store calls and metrics server after packets were no longer forwarded; a cut failure domain was tried with every first packet each time a suspicion ended; readiness came back 2.5 s into a cut of 5.8 s and took callers in for another second and a half.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -12,13 +12,16 @@
     constexpr uint32_t statusNotReady = 503;
     constexpr uint32_t statusNotFound = 404;
 
-    constexpr Base::milliseconds readinessPollTime { 1000 };
+    constexpr Base::milliseconds readinessPollTime { 200 };
     constexpr Base::milliseconds metricsInterval { 1000 };
     constexpr Base::milliseconds leaveCheckInterval { 50 };
-    /// The fabric needs two checks, half a second apart, to send callers elsewhere.
-    constexpr Base::milliseconds shortestLeave { 1600 };
-    /// Callers repeat packets within 1.6 s at the longest, but most of them within 200 ms.
-    constexpr Base::milliseconds quietUntilLeft { 500 };
+    /// For the threads to end: the longest call to the store, and a little.
+    constexpr Base::milliseconds timeToEnd { 1500 };
+    /// The fabric needs two checks, half a second apart, to send callers elsewhere. Flows go on through other entry VMs,
+    /// so that there is nothing to wait for beyond that.
+    constexpr Base::milliseconds shortestLeave { 1100 };
+    /// Busy entry VMs get a packet every few milliseconds while the fabric uses them.
+    constexpr Base::milliseconds quietUntilLeft { 150 };
 
 }
 
@@ -79,11 +82,14 @@
     Log::write(Events::leaving);
     packets_->beginStop();
     packets_->wake();
+    // What takes a while to end does so while packets are still forwarded.
+    metrics_.stop();
+    registration_.stop();
     for (;;) {
         signals.waitForStop(leaveCheckInterval);
         const auto passed = std::chrono::steady_clock::now() - begin;
         const bool isQuiet = passed >= shortestLeave && packets_->quietFor() >= quietUntilLeft;
-        if (isQuiet || passed >= settings_.stop.timeout)
+        if (isQuiet || passed >= settings_.stop.grace - timeToEnd)
             break;
     }
     const auto passed
@@ -93,11 +99,14 @@
 
 void EntryDaemon::stopThreads()
 {
-    store_.askToStop();
     catchUp_.askToStop();
     relay_->askToStop();
     readinessWorker_.askToStop();
-    registration_.stop();
+    store_.stop();
+    catchUp_.stop();
+    relay_->stop();
+    readinessWorker_.stop();
+    // Packets are forwarded until nothing else is left to do.
     packets_->stop();
 }
 
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -13,6 +13,8 @@
 
     /// Unavailable when the endpoint cannot be bound.
     Base::ErrorOr<void> serve(const Base::Ipv4Endpoint&);
+    /// Ends serving; takes up to a second.
+    void stop() { registry_.stop(); }
     /// Takes over the figures of the other threads.
     void update(const PacketFigures&, const StoreCounters&, const BeliefFeed&);
 
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -68,8 +68,9 @@
     schema.addReal("warm_up.slack", settings.warmUp.slack, { .minimum = 0, .maximum = 1000 },
         { .documentation = "Requests in a second beyond that rate that a cold backend server still bears.",
             .unit = "requests" });
-    schema.addMilliseconds("stop.timeout_ms", settings.stop.timeout, { .minimum = 0, .maximum = 3'600'000 },
-        { .documentation = "Longest time that packets are still forwarded after a stop was asked for." });
+    schema.addMilliseconds("stop.grace_ms", settings.stop.grace, { .minimum = 0, .maximum = 3'600'000 },
+        { .documentation = "Time after which a process that was asked to stop is killed; packets are forwarded until "
+                           "1.5 s before that at the longest." });
 }
 
 Base::ErrorOr<std::map<std::string, std::string>> regionsOf(const EntrySettings& settings)
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -45,7 +45,7 @@
     } warmUp;
 
     struct Stop {
-        Base::milliseconds timeout { 5000 };
+        Base::milliseconds grace { 6000 };
     } stop;
 };
 
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -120,13 +120,14 @@
         const Base::TimePoint now = std::chrono::steady_clock::now();
         notePause(now);
         takeBeliefs(now);
-        const bool wasBusy = takePackets(now);
+        // The answers that timers wait for may be among the packets that are still unread.
+        if (takePackets(now))
+            continue;
         takeReports(now);
         sendReoffers(now);
         sendReports(now);
         publish(now);
-        if (!wasBusy)
-            sleepUntilNextTimer(now);
+        sleepUntilNextTimer(now);
     }
 }
 
@@ -183,7 +184,7 @@
         decidePacket(now, std::span(buffers.packets[place]).first(bytes));
     }
     transmit();
-    return true;
+    return static_cast<std::size_t>(received) == batchSize;
 }
 
 void PacketThread::decidePacket(Base::TimePoint now, std::span<std::byte> buffer)
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -64,7 +64,7 @@
 
     void run();
     void takeBeliefs(Base::TimePoint now);
-    /// Whether packets were received.
+    /// Whether more packets may be waiting.
     bool takePackets(Base::TimePoint now);
     void decidePacket(Base::TimePoint now, std::span<std::byte> buffer);
     void takeReports(Base::TimePoint now);
--- a/Libraries/LibEntry/RelayThread.cpp
+++ b/Libraries/LibEntry/RelayThread.cpp
@@ -10,7 +10,7 @@
     constexpr std::size_t answerBytes = std::size_t { 128 } * 1024;
     /// One answer may hold one record of the store's largest size.
     constexpr std::size_t queuedBytes = std::size_t { 4 } * 1024 * 1024;
-    constexpr Base::milliseconds pollTime { 1000 };
+    constexpr Base::milliseconds pollTime { 200 };
 
 }
 
--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -34,7 +34,7 @@
 void StoreThread::run()
 {
     while (!worker_.isStopping()) {
-        if (follow())
+        if (follow() || worker_.isStopping())
             continue;
         const auto doublings = std::min<uint32_t>(failures_, 5);
         const auto pause = std::min(longestPause, firstPause * (1 << (doublings - 1)));
@@ -56,6 +56,8 @@
         hasRead_ = false;
         return true;
     }
+    if (worker_.isStopping())
+        return true;
     if (!answer.isOk()) {
         noteFailure(answer.outcome, answer.detail);
         return false;
--- a/Libraries/LibEntry/StoreThread.h
+++ b/Libraries/LibEntry/StoreThread.h
@@ -16,8 +16,12 @@
     StoreThread(const EntrySettings&, BeliefFeed&, StoreCounters&);
 
     void start();
-    void askToStop() { worker_.askToStop(); }
-    void stop() { worker_.stop(); }
+    void stop()
+    {
+        worker_.askToStop();
+        client_.interrupt();
+        worker_.stop();
+    }
 
 private:
     void run();
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,11 +1,13 @@
 #include <LibHttp/HttpClient.h>
 
+#include <LibBase/Verify.h>
 #include <LibPeer/Sockets.h>
 #include <array>
 #include <boost/beast/http.hpp>
 #include <cerrno>
 #include <poll.h>
 #include <sstream>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -47,29 +49,45 @@
         return text.str();
     }
 
-    bool waitFor(int socket, short events, Base::TimePoint deadline)
-    {
-        for (;;) {
-            const auto left = std::chrono::ceil<Base::milliseconds>(deadline - std::chrono::steady_clock::now());
-            if (left <= Base::milliseconds(0))
-                return false;
-            pollfd entry { .fd = socket, .events = events, .revents = 0 };
-            const int ready = ::poll(&entry, 1, static_cast<int>(left.count()));
-            if (ready > 0)
-                return true;
-            if (ready < 0 && errno != EINTR)
-                return false;
-        }
-    }
-
 }
 
 HttpClient::HttpClient(Options options)
     : options_(options)
+    , interruption_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    VERIFY(interruption_ >= 0);
+}
+
+HttpClient::~HttpClient()
 {
+    close();
+    ::close(interruption_);
 }
 
-HttpClient::~HttpClient() { close(); }
+void HttpClient::interrupt()
+{
+    const uint64_t one = 1;
+    // The counter of an eventfd takes any number of ones.
+    [[maybe_unused]] const auto written = ::write(interruption_, &one, sizeof(one));
+}
+
+bool HttpClient::waitFor(short events, Base::TimePoint deadline) const
+{
+    for (;;) {
+        const auto left = std::chrono::ceil<Base::milliseconds>(deadline - std::chrono::steady_clock::now());
+        if (left <= Base::milliseconds(0))
+            return false;
+        std::array<pollfd, 2> entries { pollfd { .fd = socket_, .events = events, .revents = 0 },
+            pollfd { .fd = interruption_, .events = POLLIN, .revents = 0 } };
+        const int ready = ::poll(entries.data(), entries.size(), static_cast<int>(left.count()));
+        if (entries[1].revents != 0)
+            return false;
+        if (ready > 0)
+            return true;
+        if (ready < 0 && errno != EINTR)
+            return false;
+    }
+}
 
 void HttpClient::close()
 {
@@ -82,7 +100,7 @@
 {
     TRY_ASSIGN(socket, Peer::startConnecting(options_.server));
     socket_ = socket;
-    const bool inTime = waitFor(socket_, POLLOUT, std::chrono::steady_clock::now() + options_.connectTimeout);
+    const bool inTime = waitFor(POLLOUT, std::chrono::steady_clock::now() + options_.connectTimeout);
     if (!inTime || Peer::pendingSocketError(socket_) != 0) {
         close();
         return Base::makeError(ErrorCode::Unavailable, options_.server.toString() + ": cannot connect");
@@ -100,7 +118,7 @@
         }
         if (errno != EAGAIN && errno != EINTR)
             return Base::makeError(ErrorCode::Unavailable, "connection closed while sending");
-        if (!waitFor(socket_, POLLOUT, deadline))
+        if (!waitFor(POLLOUT, deadline))
             return Base::makeError(ErrorCode::Unavailable, "not sent in time");
     }
     return {};
@@ -114,7 +132,7 @@
     std::array<char, readBytes> buffer {};
     std::string pending;
     while (!parser.is_done()) {
-        if (!waitFor(socket_, POLLIN, deadline))
+        if (!waitFor(POLLIN, deadline))
             return Base::makeError(ErrorCode::TimedOut, "no answer in time");
         const auto received = ::recv(socket_, buffer.data(), buffer.size(), 0);
         if (received < 0 && (errno == EAGAIN || errno == EINTR))
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// HTTP/1.1 over one kept connection, for threads that may wait. Not thread-safe.
+/// HTTP/1.1 over one kept connection, for threads that may wait. Not thread-safe, but for interrupt().
 
 #include <LibBase/Error.h>
 #include <LibBase/Ipv4Endpoint.h>
@@ -50,7 +50,11 @@
     /// Ends the connection, so that the next call makes a new one.
     void close();
 
+    /// Any thread: the call in progress, and all later ones, fail at once.
+    void interrupt();
+
 private:
+    bool waitFor(short events, Base::TimePoint deadline) const;
     Base::ErrorOr<void> connect();
     Base::ErrorOr<void> sendAll(std::string_view bytes, Base::TimePoint deadline);
     Base::ErrorOr<Response> receive(Base::TimePoint deadline);
@@ -58,6 +62,8 @@
 
     Options options_;
     int socket_ { -1 };
+    /// Readable once interrupt() was called.
+    int interruption_;
 };
 
 }
--- a/Libraries/LibMetrics/Registry.h
+++ b/Libraries/LibMetrics/Registry.h
@@ -35,6 +35,9 @@
     /// Serves the registry. Port 0: the kernel chooses. Unavailable when the endpoint cannot be bound.
     Base::ErrorOr<Base::Ipv4Endpoint> serve(const Base::Ipv4Endpoint&);
 
+    /// Ends serving; takes up to a second.
+    void stop() { exposer_.reset(); }
+
     /// The registry, for tests.
     prometheus::Registry& registry() { return *registry_; }
 
--- a/Libraries/LibSteering/Process/DomainReachability.cpp
+++ b/Libraries/LibSteering/Process/DomainReachability.cpp
@@ -11,6 +11,8 @@
     /// A cut lasts seconds; each attempt costs callers a second offer only, so that attempts may be frequent.
     constexpr Base::milliseconds firstSuspicion { 700 };
     constexpr Base::milliseconds longestSuspicion { 1500 };
+    /// Longer than the answer to a single attempt takes, on any path that is worth using.
+    constexpr Base::milliseconds attemptTime { 200 };
 
 }
 
@@ -27,16 +29,27 @@
     unansweredInRow_ = 0;
 }
 
+void DomainReachability::noteAttempt(Base::TimePoint now, DomainIndex index)
+{
+    auto& domain = at(index);
+    if (domain.unanswered >= unansweredUntilSuspect)
+        domain.suspectUntil = std::max(domain.suspectUntil, now + attemptTime);
+}
+
+void DomainReachability::noteHeard(DomainIndex index) { at(index).suspectUntil = {}; }
+
 void DomainReachability::noteUnanswered(Base::TimePoint now, DomainIndex index)
 {
     ++unansweredInRow_;
     auto& domain = at(index);
     ++domain.unanswered;
-    // Packets that were already on their way when the suspicion began must not prolong it.
-    if (domain.unanswered < unansweredUntilSuspect || now < domain.suspectUntil)
+    if (domain.unanswered < unansweredUntilSuspect)
         return;
-    domain.suspicion = std::clamp(domain.suspicion * 2, firstSuspicion, longestSuspicion);
-    domain.suspectUntil = now + domain.suspicion;
+    // Packets that were already on their way when the suspicion began must not lengthen the next one.
+    if (now >= domain.suspicionEnds)
+        domain.suspicion = std::clamp(domain.suspicion * 2, firstSuspicion, longestSuspicion);
+    domain.suspicionEnds = now + domain.suspicion;
+    domain.suspectUntil = domain.suspicionEnds;
 }
 
 bool DomainReachability::isSuspect(Base::TimePoint now, DomainIndex domain) const
--- a/Libraries/LibSteering/Process/Readiness.h
+++ b/Libraries/LibSteering/Process/Readiness.h
@@ -17,6 +17,8 @@
     /// A first packet brought no sign of life; inRow: how many in a row, over all backend servers.
     void noteUnanswered(Base::TimePoint now, uint32_t inRow);
     void noteAnswered();
+    /// An entry VM of a failure domain whose backend servers may be used was heard of.
+    void noteHeard(Base::TimePoint now);
 
     bool isReady(Base::TimePoint now) const { return complete_ && !stopping_ && now >= isolatedUntil_; }
     bool isIsolated(Base::TimePoint now) const { return now < isolatedUntil_; }
@@ -25,6 +27,7 @@
     bool complete_ { false };
     bool stopping_ { false };
     uint32_t answeredWhileIsolated_ { 0 };
+    Base::TimePoint isolatedSince_ {};
     Base::TimePoint isolatedUntil_ {};
 };
 
--- a/Libraries/LibSteering/Request/ServerChoice.h
+++ b/Libraries/LibSteering/Request/ServerChoice.h
@@ -49,6 +49,8 @@
 
     std::optional<Choice> choose(Base::TimePoint now, const Question&);
     void setEvacuated(const std::string& failureDomain, bool isEvacuated);
+    /// Whether new flows may go to the failure domain's servers.
+    bool isDomainUsable(DomainIndex domain) const { return !evacuated_.contains(domain); }
     /// Whether new flows may go to the server at all.
     bool isUsable(const Server&) const;
 
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -22,6 +22,10 @@
     constexpr Base::milliseconds recentSuccess { 1000 };
     constexpr Base::milliseconds firstSuspicion { 500 };
     constexpr Base::milliseconds longestSuspicion { 4000 };
+    /// After a suspicion, one first packet at a time tries the server; the answer to it takes less than this.
+    constexpr Base::milliseconds attemptTime { 200 };
+    /// A peer that was not heard of for this long was out of reach or down; reports come every 200 ms.
+    constexpr Base::milliseconds silence { 700 };
 
     /// An open flow without packets for this long no longer counts as work: work takes tens of milliseconds, and
     /// callers repeat what is lost within 1.6 s.
@@ -205,9 +209,27 @@
             .peers = &peerIds_ });
 }
 
-Verdict SteeringDecider::offer(FlowRecord& record, const Choice& choice)
+bool SteeringDecider::takeReport(Base::TimePoint now, const LoadReport& report)
+{
+    const auto peer = peerLoads_.peers().find(report.sender);
+    const bool wasSilent = peer != peerLoads_.peers().end() && now - peer->second.heardAt > silence;
+    if (!peerLoads_.take(now, report))
+        return false;
+    const auto domain = servers_.domainIndex(peer->second.failureDomain);
+    if (peer->second.failureDomain == options_.failureDomain || !choice_.isDomainUsable(domain))
+        return true;
+    readiness_.noteHeard(now);
+    if (wasSilent)
+        reachability_.noteHeard(domain);
+    return true;
+}
+
+Verdict SteeringDecider::offer(Base::TimePoint now, FlowRecord& record, const Choice& choice)
 {
     auto& server = servers_.at(choice.server);
+    reachability_.noteAttempt(now, server.domain);
+    if (server.unanswered > 1)
+        server.suspectUntil = std::max(server.suspectUntil, now + attemptTime);
     ++server.ownInProgress;
     record.isCounted = true;
     record.offers[record.offerCount++] = server.entry.number;
@@ -253,7 +275,7 @@
         flows_.erase(packet.flow);
         return refuse(packet, Refusal::NoServer, VerdictKind::Reset);
     }
-    const auto verdict = offer(*record, *choice);
+    const auto verdict = offer(now, *record, *choice);
     report(isCopy ? FlowDecision::Kind::Copied : FlowDecision::Kind::Placed, packet.flow, *record, now, &*choice);
     if (record == &untracked) {
         release(untracked);
@@ -361,10 +383,11 @@
     reachability_.noteUnanswered(now, server.domain);
     readiness_.noteUnanswered(now, reachability_.unansweredInRow());
     const bool isLikelyLoss = server.unanswered == 1 && now - server.lastSuccess < recentSuccess;
-    if (isLikelyLoss || now < server.suspectUntil)
+    if (isLikelyLoss)
         return;
     const auto doublings = std::min<uint32_t>(server.unanswered, 4) - 1;
-    server.suspectUntil = now + std::min(longestSuspicion, firstSuspicion * (1 << doublings));
+    server.suspectUntil
+        = std::max(server.suspectUntil, now + std::min(longestSuspicion, firstSuspicion * (1 << doublings)));
 }
 
 std::optional<Reoffer> SteeringDecider::reoffer(Base::TimePoint now, const PendingOffer& pending)
@@ -381,7 +404,7 @@
     if (!choice || choice->tier != ChoiceTier::Sound)
         return std::nullopt;
     ++statistics_.reoffers;
-    const auto verdict = offer(*record, *choice);
+    const auto verdict = offer(now, *record, *choice);
     report(FlowDecision::Kind::Reoffered, pending.flow, *record, now, &*choice);
     return Reoffer { .bytes = pending.bytes, .verdict = verdict };
 }
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -91,7 +91,7 @@
     Base::TimePoint nextTimer(Base::TimePoint now) const;
 
     /// False when the report changed nothing.
-    bool takeReport(Base::TimePoint now, const LoadReport& report) { return peerLoads_.take(now, report); }
+    bool takeReport(Base::TimePoint now, const LoadReport& report);
     /// Work in progress that this node has placed.
     std::vector<ServerLoad> ownLoads();
     const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers() const { return peerLoads_.peers(); }
@@ -141,7 +141,7 @@
     void open(Base::TimePoint now, FlowRecord&, const PacketView&, const CompiledRoute&);
     void trackProgress(FlowRecord&, const PacketView&);
     std::optional<Choice> choose(Base::TimePoint now, const Packet::FlowKey&, const CompiledRoute&, const FlowRecord&);
-    Verdict offer(FlowRecord&, const Choice&);
+    Verdict offer(Base::TimePoint now, FlowRecord&, const Choice&);
     Verdict forwardTo(const Server&);
     Verdict refuse(const PacketView&, Refusal, VerdictKind);
     void noteSilence(Base::TimePoint now, const FlowRecord&);
