--- a/Libraries/LibEntry/BeliefFeed.cpp
+++ b/Libraries/LibEntry/BeliefFeed.cpp
@@ -80,7 +80,7 @@
 {
 }
 
-void BeliefFeed::push(Steering::BeliefEvent event)
+void BeliefFeed::push(const Steering::BeliefEvent& event)
 {
     while (!events_.tryPush(event)) {
         options_.wake();
@@ -107,7 +107,7 @@
     if (!*event.value)
         return;
     std::visit([&](const auto& typed) { logEvent(typed, source); }, **event.value);
-    push(std::move(**event.value));
+    push(**event.value);
 }
 
 void BeliefFeed::apply(const Mirror::ChangeBatch& batch, std::string_view source)
--- a/Libraries/LibEntry/BeliefFeed.h
+++ b/Libraries/LibEntry/BeliefFeed.h
@@ -39,7 +39,7 @@
     bool isEmpty() const { return events_.isEmpty(); }
 
 private:
-    void push(Steering::BeliefEvent);
+    void push(const Steering::BeliefEvent&);
     void applyRecord(const Mirror::Record&, std::string_view source);
 
     Options options_;
--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -17,8 +17,8 @@
     constexpr Base::milliseconds leaveCheckInterval { 50 };
     /// For the threads to end: the longest call to the store, and a little.
     constexpr Base::milliseconds timeToEnd { 1500 };
-    /// The fabric needs two checks, half a second apart, to send callers elsewhere. Flows go on through other entry VMs,
-    /// so that there is nothing to wait for beyond that.
+    /// The fabric needs two checks, half a second apart, to send callers elsewhere. Flows go on through other entry
+    /// VMs, so that there is nothing to wait for beyond that.
     constexpr Base::milliseconds shortestLeave { 1100 };
     /// Busy entry VMs get a packet every few milliseconds while the fabric uses them.
     constexpr Base::milliseconds quietUntilLeft { 150 };
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -70,7 +70,8 @@
 }
 
 PacketThread::PacketThread(const EntrySettings& settings, BeliefFeed& feed, CatchUpThread& catchUp,
-    Peer::Authenticator authenticator, int dataSocket, int reportSocket, Steering::SteeringDecider::Options options)
+    Peer::Authenticator authenticator, int dataSocket, int reportSocket,
+    const Steering::SteeringDecider::Options& options)
     : settings_(settings)
     , feed_(feed)
     , catchUp_(catchUp)
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -60,7 +60,7 @@
     struct Buffers;
 
     PacketThread(const EntrySettings&, BeliefFeed&, CatchUpThread&, Peer::Authenticator, int dataSocket,
-        int reportSocket, Steering::SteeringDecider::Options);
+        int reportSocket, const Steering::SteeringDecider::Options&);
 
     void run();
     void takeBeliefs(Base::TimePoint now);
--- a/Libraries/LibSteering/Process/Readiness.cpp
+++ b/Libraries/LibSteering/Process/Readiness.cpp
@@ -17,9 +17,9 @@
 
 void Readiness::noteUnanswered(Base::TimePoint now, uint32_t inRow)
 {
-    answeredWhileIsolated_ = 0;
     if (inRow < unansweredUntilIsolated)
         return;
+    answeredWhileIsolated_ = 0;
     if (!isIsolated(now))
         isolatedSince_ = now;
     isolatedUntil_ = now + isolationTime;
--- a/Libraries/LibSteering/Request/ServerChoice.cpp
+++ b/Libraries/LibSteering/Request/ServerChoice.cpp
@@ -55,7 +55,7 @@
 }
 
 ServerChoice::ServerChoice(
-    Options options, ServerTable& servers, DomainReachability& reachability, WarmUpAllowance& allowance)
+    const Options& options, ServerTable& servers, DomainReachability& reachability, WarmUpAllowance& allowance)
     : servers_(servers)
     , reachability_(reachability)
     , allowance_(allowance)
--- a/Libraries/LibSteering/Request/ServerChoice.h
+++ b/Libraries/LibSteering/Request/ServerChoice.h
@@ -36,7 +36,7 @@
         uint64_t seed { 1 };
     };
 
-    ServerChoice(Options, ServerTable&, DomainReachability&, WarmUpAllowance&);
+    ServerChoice(const Options&, ServerTable&, DomainReachability&, WarmUpAllowance&);
 
     /// What one choice depends on.
     struct Question {
--- /dev/null
+++ b/Tests/LibMirror/TestMirror.cpp
@@ -0,0 +1,141 @@
+#include <LibBase/Random.h>
+#include <LibMirror/Mirror.h>
+#include <LibMirror/RelayMessage.h>
+#include <catch2/catch.hpp>
+#include <map>
+
+using Mirror::ChangeBatch;
+using Mirror::Record;
+
+namespace {
+
+Record put(const std::string& key, uint64_t revision, const std::string& value = "x")
+{
+    return { .key = key, .revision = revision, .value = value };
+}
+
+Record deletion(const std::string& key, uint64_t revision)
+{
+    return { .key = key, .revision = revision, .value = {}, .isDeletion = true };
+}
+
+}
+
+TEST_CASE("the whole state, then changes")
+{
+    Mirror::Mirror mirror;
+    CHECK_FALSE(mirror.isSynchronized());
+    CHECK(mirror.apply({ .upTo = 10, .isComplete = true, .records = { put("a", 3), put("b", 9) } }).size() == 2);
+    CHECK(mirror.isSynchronized());
+    CHECK(mirror.revision() == 10);
+    const auto changed = mirror.apply({ .after = 10, .upTo = 12, .records = { put("a", 11, "y"), deletion("b", 12) } });
+    REQUIRE(changed.size() == 2);
+    CHECK(changed[0].value == "y");
+    CHECK(changed[1].isDeletion);
+    CHECK(mirror.size() == 1);
+}
+
+TEST_CASE("a batch from the past changes nothing, one with a gap neither")
+{
+    Mirror::Mirror mirror;
+    mirror.apply({ .upTo = 10, .isComplete = true, .records = { put("a", 3) } });
+    CHECK(mirror.apply({ .upTo = 9, .isComplete = true, .records = { put("c", 2) } }).empty());
+    CHECK(mirror.apply({ .after = 5, .upTo = 8, .records = { put("d", 7) } }).empty());
+    CHECK(mirror.apply({ .after = 15, .upTo = 18, .records = { put("d", 17) } }).empty());
+    CHECK(mirror.revision() == 10);
+}
+
+TEST_CASE("changes that are known already are not told again")
+{
+    Mirror::Mirror mirror;
+    mirror.apply({ .upTo = 10, .isComplete = true, .records = { put("a", 3) } });
+    const ChangeBatch batch { .after = 10, .upTo = 11, .records = { put("a", 11) } };
+    CHECK(mirror.apply(batch).size() == 1);
+    CHECK(mirror.apply(batch).empty());
+}
+
+TEST_CASE("a whole state tells what has been deleted meanwhile")
+{
+    Mirror::Mirror mirror;
+    mirror.apply({ .upTo = 10, .isComplete = true, .records = { put("a", 3), put("b", 4) } });
+    const auto changed = mirror.apply({ .upTo = 20, .isComplete = true, .records = { put("b", 4), put("c", 15) } });
+    REQUIRE(changed.size() == 2);
+    CHECK(changed[0].key == "c");
+    CHECK(changed[1] == deletion("a", 20));
+}
+
+TEST_CASE("peers that follow each other end with the store's state, whatever the order and the losses")
+{
+    for (uint64_t seed = 1; seed <= 200; ++seed) {
+        Base::Random random(seed);
+        std::map<std::string, Record> store;
+        Mirror::Mirror first;
+        Mirror::Mirror second;
+        first.apply({ .upTo = 1, .isComplete = true });
+        uint64_t revision = 1;
+        for (int step = 0; step < 300; ++step) {
+            const auto key = "key" + std::to_string(random.below(12));
+            const auto after = revision;
+            ChangeBatch batch { .after = after };
+            if (store.contains(key) && random.chance(0.4)) {
+                store.erase(key);
+                batch.records.push_back(deletion(key, ++revision));
+            } else {
+                ++revision;
+                store[key] = put(key, revision, std::to_string(revision));
+                batch.records.push_back(store[key]);
+            }
+            batch.upTo = revision;
+            first.apply(batch);
+            if (random.chance(0.1)) {
+                // The peer that asks may be empty or far behind; parts are small.
+                for (;;) {
+                    const auto part = first.changesAfter(second.isSynchronized() ? second.revision() : 0, 8);
+                    second.apply(part);
+                    if (!part.hasMore)
+                        break;
+                }
+                REQUIRE(second.revision() == first.revision());
+                REQUIRE(second.size() == store.size());
+            }
+        }
+        const auto all = second.changesAfter(0, 1'000'000);
+        for (const auto& record : all.records) {
+            if (!record.isDeletion && record.revision <= second.revision() && second.revision() == revision)
+                REQUIRE(store.at(record.key) == record);
+        }
+    }
+}
+
+TEST_CASE("batches and questions are read as they were written")
+{
+    const ChangeBatch batch { .after = 3,
+        .upTo = 9,
+        .isComplete = false,
+        .hasMore = true,
+        .records = { put("a", 4, std::string("\0\xff", 2)), deletion("b", 9) } };
+    const auto read = Base::capture([&] { return Mirror::decodeBatch(Mirror::encodeBatch(batch)); });
+    REQUIRE(read.isOk());
+    CHECK(read.value->records == batch.records);
+    CHECK(read.value->hasMore);
+    CHECK(read.value->after == 3);
+    CHECK(read.value->upTo == 9);
+    const auto question
+        = Base::capture([&] { return Mirror::decodeQuestion(Mirror::encodeQuestion({ .after = 12 })); });
+    REQUIRE(question.isOk());
+    CHECK(question.value->after == 12);
+}
+
+TEST_CASE("damaged batches are refused or read, never worse")
+{
+    Base::Random random(5);
+    const auto bytes = Mirror::encodeBatch({ .after = 3, .upTo = 9, .records = { put("a", 4), deletion("b", 9) } });
+    for (int round = 0; round < 5000; ++round) {
+        auto damaged = bytes;
+        for (uint64_t changes = 1 + random.below(3); changes > 0; --changes)
+            damaged[random.below(damaged.size())] = static_cast<std::byte>(random.below(256));
+        damaged.resize(1 + random.below(damaged.size()));
+        Base::capture([&] { return Mirror::decodeBatch(damaged); });
+        Base::capture([&] { return Mirror::decodeQuestion(damaged); });
+    }
+}
--- /dev/null
+++ b/Tests/LibSteering/Fixture.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <LibSteering/SteeringDecider.h>
+#include <vector>
+
+/// One decider with a small deployment: service "rota" in failure domains "brum" (the decider's own) and "notts".
+class SteeringFixture {
+public:
+    using TimePoint = Base::TimePoint;
+    using milliseconds = Base::milliseconds;
+
+    SteeringFixture()
+        : decider_({ .self = peer(1),
+            .failureDomain = "brum",
+            .regions = { { "brum", "midlands" }, { "notts", "midlands" }, { "abroad", "elsewhere" } },
+            .warmUpOvershoot = 1.5,
+            .warmUpSlack = 5,
+            .seed = 7,
+            .onDecision = [this](const Steering::FlowDecision& decision) { decisions_.push_back(decision); } })
+    {
+        advance(milliseconds(1000));
+    }
+
+    static Base::EntryVmId peer(uint32_t host)
+    {
+        return Base::EntryVmId::fromEndpoint({ .address = { host }, .port = 100 });
+    }
+
+    static Steering::BackendServerNumber number(uint64_t value) { return { value }; }
+
+    void advance(milliseconds time)
+    {
+        now_ += time;
+        for (const auto& reoffer : decider_.handleTimers(now_))
+            reoffers_.push_back(reoffer);
+    }
+
+    void configure(uint64_t revision = 10, const std::vector<uint16_t>& ports = { 443 })
+    {
+        auto configuration = std::make_shared<Steering::Configuration>();
+        configuration->version = revision;
+        configuration->revision = revision;
+        for (const auto port : ports) {
+            configuration->routes.push_back({ .name = "route",
+                .endpoint = service(port),
+                .shares = { { .service = "rota", .weight = 1 } },
+                .regions = regions_ });
+        }
+        configuration->services.push_back(
+            { .name = "rota", .warmUp = milliseconds(2000), .warmUpRequestsPerSecond = 0 });
+        configuration->idleTimeout = milliseconds(15'000);
+        decider_.handle(now_, Steering::ConfigurationChanged { .configuration = configuration });
+    }
+
+    void list(uint64_t value, const std::string& domain = "brum",
+        Steering::ServerState state = Steering::ServerState::Ready, milliseconds warmUpLeft = milliseconds(0),
+        milliseconds startedAt = milliseconds(5))
+    {
+        decider_.handle(now_,
+            Steering::ServerListed { .entry = { .number = number(value),
+                                         .service = "rota",
+                                         .address = { .address = { static_cast<uint32_t>(value) }, .port = 80 },
+                                         .failureDomain = domain,
+                                         .state = state,
+                                         .slots = 2,
+                                         .warmUpLeft = warmUpLeft,
+                                         .startedAt = startedAt } });
+    }
+
+    void synchronize() { decider_.handle(now_, Steering::BeliefsSynchronized {}); }
+
+    static Base::Ipv4Endpoint service(uint16_t port) { return { .address = { 0xC6120001 }, .port = port }; }
+
+    static Packet::FlowKey flow(uint16_t callerPort, uint16_t servicePort = 443)
+    {
+        return { .caller = { .address = { 0x64400001 }, .port = callerPort }, .service = service(servicePort) };
+    }
+
+    Steering::Verdict sendFirst(uint16_t callerPort, uint16_t servicePort = 443, uint32_t sequence = 1000)
+    {
+        const Steering::PacketView view {
+            .flow = flow(callerPort, servicePort), .opensFlow = true, .sequence = sequence
+        };
+        return decider_.decide(now_, view, Steering::FirstPacketBytes {});
+    }
+
+    Steering::Verdict send(
+        uint16_t callerPort, Steering::FlowToken token, uint32_t acknowledged = 501, bool ends = false)
+    {
+        const Steering::PacketView view { .flow = flow(callerPort),
+            .token = token,
+            .acknowledges = true,
+            .ends = ends,
+            .sequence = 1001,
+            .acknowledged = acknowledged };
+        return decider_.decide(now_, view, Steering::FirstPacketBytes {});
+    }
+
+    /// A whole flow: first packet, handshake, end.
+    Steering::BackendServerNumber serveOne(uint16_t callerPort)
+    {
+        const auto first = sendFirst(callerPort);
+        advance(milliseconds(8));
+        send(callerPort, first.token);
+        send(callerPort, first.token, 900, true);
+        return first.number;
+    }
+
+    static Steering::FlowToken token(uint64_t value) { return Steering::FlowToken::of(number(value)); }
+
+protected:
+    TimePoint now_ {};
+    std::vector<std::string> regions_;
+    std::vector<Steering::FlowDecision> decisions_;
+    std::vector<Steering::Reoffer> reoffers_;
+    Steering::SteeringDecider decider_;
+};
