LibSteering, LibEntry: Let one entry VM of a failure domain follow the store

Change: by rank among the peers heard of in its failure domain, one entry VM follows the store and tells the others in its reports which revision it holds; they ask it for what is new over one kept connection. Silent watchers are replaced after a second, watchers that the store turns away by the next in rank, at most three of a domain try at once. Calls are gathered for 250 ms after a change. Right after a start, packets wait in the socket for the first configuration.

Ruled out: leases for watchers (views that differ cost calls, nothing else); one watcher for all domains (a cut domain would have none).

--- a/Libraries/LibEntry/BeliefFeed.h
+++ b/Libraries/LibEntry/BeliefFeed.h
@@ -24,6 +24,7 @@
 
     /// Takes over a batch of records; source: "store" or the peer's endpoint, for the log.
     void apply(const Mirror::ChangeBatch&, std::string_view source);
+    /// detail: what the store answered, or who says so.
     void setStoreReachable(bool isReachable, std::string_view detail);
 
     /// What a peer that holds everything up to a revision lacks.
--- a/Libraries/LibEntry/CatchUpThread.cpp
+++ b/Libraries/LibEntry/CatchUpThread.cpp
@@ -3,7 +3,6 @@
 #include <LibEntry/Events.h>
 #include <LibLog/Log.h>
 #include <LibMirror/RelayMessage.h>
-#include <LibPeer/QueryClient.h>
 
 namespace Entry {
 
@@ -30,7 +29,7 @@
     worker_.start([this] { run(); });
 }
 
-void CatchUpThread::notePeer(Base::EntryVmId peer, uint64_t revision)
+void CatchUpThread::notePeer(Base::EntryVmId peer, uint64_t revision, bool isUrgent)
 {
     if (revision <= feed_.revision())
         return;
@@ -40,36 +39,44 @@
             return;
         newestRevision_ = revision;
         newestPeer_ = peer;
+        isUrgent_ = isUrgent;
     }
     worker_.wake();
 }
 
-Base::EntryVmId CatchUpThread::nextPeer()
+CatchUpThread::Candidate CatchUpThread::nextPeer()
 {
     {
         const std::scoped_lock lock(mutex_);
         if (newestRevision_ > feed_.revision())
-            return newestPeer_;
+            return { .peer = newestPeer_, .isUrgent = isUrgent_ };
     }
     const auto& seeds = settings_.control.seeds;
     if (feed_.isSynchronized() || seeds.empty())
         return {};
     const auto seed = seeds[nextSeed_++ % seeds.size()];
-    return seed == settings_.control.endpoint ? Base::EntryVmId {} : Base::EntryVmId::fromEndpoint(seed);
+    if (seed == settings_.control.endpoint)
+        return {};
+    return { .peer = Base::EntryVmId::fromEndpoint(seed), .isUrgent = true };
 }
 
 void CatchUpThread::run()
 {
     worker_.pause(graceForStore);
     while (!worker_.isStopping()) {
-        const auto peer = nextPeer();
-        if (peer.isValid()) {
+        const auto candidate = nextPeer();
+        if (!candidate.peer.isValid()) {
+            worker_.pause(feed_.isSynchronized() ? pauseWhenCurrent : pauseWhileEmpty);
+            continue;
+        }
+        if (!candidate.isUrgent) {
             worker_.pause(graceForStore);
-            const bool isStillBehind = nextPeer().isValid();
-            if (!isStillBehind || worker_.isStopping())
-                continue;
-            if (fetchFrom(peer))
+            if (!nextPeer().peer.isValid() || worker_.isStopping())
                 continue;
+        }
+        if (fetchFrom(candidate.peer))
+            continue;
+        {
             // Another peer's report will name it again.
             const std::scoped_lock lock(mutex_);
             newestRevision_ = 0;
@@ -78,28 +85,35 @@
     }
 }
 
-bool CatchUpThread::fetchFrom(Base::EntryVmId peer)
+Base::ErrorOr<void> CatchUpThread::fetchAll(Base::EntryVmId peer, const std::string& source)
 {
-    const auto source = peer.endpoint().toString();
-    const auto before = feed_.revision();
-    const auto result = Base::captureError([&]() -> Base::ErrorOr<void> {
+    if (!client_ || clientPeer_ != peer) {
         TRY_ASSIGN(client,
             Peer::QueryClient::create({ .endpoint = peer.endpoint(),
                 .keys = settings_.control.keys,
                 .timeout = answerTimeout,
                 .maximumFrameBytes = maximumAnswerBytes }));
-        uint64_t after = feed_.isSynchronized() ? feed_.revision() : 0;
-        for (;;) {
-            TRY_ASSIGN(answer, client.ask(Peer::Channel::Query, Mirror::encodeQuestion({ .after = after })));
-            TRY_ASSIGN(part, Mirror::decodeBatch(answer));
-            feed_.apply(part, source);
-            if (!part.hasMore)
-                return {};
-            after = part.upTo;
-        }
-    });
-    if (result) {
-        Log::write(Events::peerSilent, Log::Fields().add("peer", source).add("error", result->detail));
+        client_.emplace(std::move(client));
+        clientPeer_ = peer;
+    }
+    uint64_t after = feed_.isSynchronized() ? feed_.revision() : 0;
+    for (;;) {
+        TRY_ASSIGN(answer, client_->ask(Peer::Channel::Query, Mirror::encodeQuestion({ .after = after })));
+        TRY_ASSIGN(part, Mirror::decodeBatch(answer));
+        feed_.apply(part, source);
+        if (!part.hasMore)
+            return {};
+        after = part.upTo;
+    }
+}
+
+bool CatchUpThread::fetchFrom(Base::EntryVmId peer)
+{
+    const auto source = peer.endpoint().toString();
+    const auto before = feed_.revision();
+    if (const auto error = Base::captureError([&] { return fetchAll(peer, source); })) {
+        client_.reset();
+        Log::write(Events::peerSilent, Log::Fields().add("peer", source).add("error", error->detail));
         return false;
     }
     Log::write(Events::caughtUp, Log::Fields().add("peer", source).add("from", before).add("to", feed_.revision()));
--- a/Libraries/LibEntry/CatchUpThread.h
+++ b/Libraries/LibEntry/CatchUpThread.h
@@ -3,6 +3,8 @@
 #include <LibEntry/BeliefFeed.h>
 #include <LibEntry/EntrySettings.h>
 #include <LibEntry/Worker.h>
+#include <LibPeer/QueryClient.h>
+#include <optional>
 
 namespace Entry {
 
@@ -16,13 +18,21 @@
     void askToStop() { worker_.askToStop(); }
     void stop() { worker_.stop(); }
 
-    /// A peer holds records up to a revision. Any thread.
-    void notePeer(Base::EntryVmId, uint64_t revision);
+    /// A peer holds records up to a revision. urgent: this entry VM does not follow the store itself, so that there is
+    /// nothing to wait for. Any thread.
+    void notePeer(Base::EntryVmId, uint64_t revision, bool isUrgent);
 
 private:
     void run();
-    /// Whom to ask now; nobody: none.
-    Base::EntryVmId nextPeer();
+    struct Candidate {
+        /// None: there is nobody to ask.
+        Base::EntryVmId peer;
+        bool isUrgent { false };
+    };
+
+    /// Whom to ask now.
+    Candidate nextPeer();
+    Base::ErrorOr<void> fetchAll(Base::EntryVmId, const std::string& source);
     /// Whether the peer's records have been taken over.
     bool fetchFrom(Base::EntryVmId);
 
@@ -32,7 +42,11 @@
     /// The peer that holds the newest records.
     Base::EntryVmId newestPeer_;
     uint64_t newestRevision_ { 0 };
+    bool isUrgent_ { false };
     std::size_t nextSeed_ { 0 };
+    /// The connection to the peer that was asked last.
+    std::optional<Peer::QueryClient> client_;
+    Base::EntryVmId clientPeer_;
     Worker worker_;
 };
 
--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -28,7 +28,7 @@
 Base::ErrorOr<std::unique_ptr<EntryDaemon>> EntryDaemon::create(const EntrySettings& settings)
 {
     std::unique_ptr<EntryDaemon> daemon(new EntryDaemon(settings));
-    TRY_ASSIGN(packets, PacketThread::create(settings, daemon->feed_, daemon->catchUp_));
+    TRY_ASSIGN(packets, PacketThread::create(settings, daemon->feed_, daemon->catchUp_, daemon->store_));
     daemon->packets_ = std::move(packets);
     TRY_ASSIGN(relay, RelayThread::create(settings, daemon->feed_));
     daemon->relay_ = std::move(relay);
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -41,6 +41,9 @@
         schema.addMilliseconds("store.watch_ms", store.watchTime, { .minimum = 100, .maximum = 30'000 },
             { .documentation = "How long a watch waits for changes. A connection that went silent is noticed after "
                                "this and the call's timeout." });
+        schema.addInteger("store.watchers_per_domain", store.watchersPerDomain, { .minimum = 1, .maximum = 64 },
+            { .documentation = "Entry VMs of each failure domain that follow the store; the others hear from them.",
+                .unit = "entry VMs" });
         schema.addMilliseconds("store.lease_ms", store.leaseTime, { .minimum = 1000, .maximum = 600'000 },
             { .documentation = "How long this entry VM stays listed after it was last heard of." });
     }
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -30,8 +30,9 @@
     struct Store {
         Base::Ipv4Endpoint endpoint;
         Base::milliseconds callTimeout { 1000 };
-        Base::milliseconds watchTime { 2500 };
-        Base::milliseconds leaseTime { 15'000 };
+        Base::milliseconds watchTime { 4000 };
+        Base::milliseconds leaseTime { 30'000 };
+        std::size_t watchersPerDomain { 1 };
     } store;
 
     struct Limits {
--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -50,11 +50,15 @@
     "A peer held newer records than the store had told; they were taken over." };
 inline constexpr Event peerSilent { 5036, "peer_gave_no_records", Level::Warning,
     "A peer was asked for records and did not give them." };
+inline constexpr Event watchBegun { 5037, "store_watch_begun", Level::Info,
+    "This entry VM follows the store itself and tells its peers." };
+inline constexpr Event watchEnded { 5038, "store_watch_ended", Level::Info,
+    "Another entry VM of the failure domain follows the store; this one hears from it." };
 
 /// All events of this area, in the order of their numbers.
 inline constexpr std::array all { flowPlaced, flowOffered, flowOpened, flowRefused, readinessChanged, leaving, left,
     processPaused, configurationInForce, serverListed, serverUnlisted, domainEvacuated, recordRefused, peerListed,
     peerUnlisted, beliefsComplete, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp,
-    peerSilent };
+    peerSilent, watchBegun, watchEnded };
 
 }
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -18,11 +18,15 @@
 
     /// Packets wait in the socket while the processor's share is used up; this is a second of a busy machine's packets.
     constexpr int receiveBufferBytes = 2 * 1024 * 1024;
+    /// Callers repeat a first packet after 200 ms and again after 400 ms: older packets are of no use.
+    constexpr Base::milliseconds longestWait { 400 };
     constexpr std::size_t maximumReportBytes = 65'000;
     /// Work lasts 15 to 20 ms and servers have two slots: older counts say little about the next choice. Peers in other
     /// failure domains matter only once the own domain is full, and their bytes are priced.
     constexpr Base::milliseconds nearReportInterval { 100 };
     constexpr Base::milliseconds farReportInterval { 200 };
+    /// Keeps the reports that an entry VM sends at about a hundred a second however many peers there are.
+    constexpr Base::milliseconds timeForEachPeer { 10 };
     constexpr Base::milliseconds publishInterval { 1000 };
     /// The longest time the thread sleeps without a timer of its own.
     constexpr Base::milliseconds longestSleep { 100 };
@@ -49,7 +53,7 @@
 };
 
 Base::ErrorOr<std::unique_ptr<PacketThread>> PacketThread::create(
-    const EntrySettings& settings, BeliefFeed& feed, CatchUpThread& catchUp)
+    const EntrySettings& settings, BeliefFeed& feed, CatchUpThread& catchUp, StoreThread& store)
 {
     TRY_ASSIGN(authenticator, Peer::Authenticator::create(settings.control.keys));
     TRY_ASSIGN(regions, regionsOf(settings));
@@ -57,7 +61,7 @@
     TRY_ASSIGN(reportSocket, Peer::bindUdp(settings.reports, false));
     ::setsockopt(dataSocket, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
     return std::unique_ptr<PacketThread>(
-        new PacketThread(settings, feed, catchUp, std::move(authenticator), dataSocket, reportSocket,
+        new PacketThread(settings, feed, catchUp, store, std::move(authenticator), dataSocket, reportSocket,
             { .self = Base::EntryVmId::fromEndpoint(settings.control.endpoint),
                 .failureDomain = settings.failureDomain,
                 .regions = std::move(regions),
@@ -69,16 +73,20 @@
                 .onDecision = logFlowDecision }));
 }
 
-PacketThread::PacketThread(const EntrySettings& settings, BeliefFeed& feed, CatchUpThread& catchUp,
+PacketThread::PacketThread(const EntrySettings& settings, BeliefFeed& feed, CatchUpThread& catchUp, StoreThread& store,
     Peer::Authenticator authenticator, int dataSocket, int reportSocket,
     const Steering::SteeringDecider::Options& options)
     : settings_(settings)
     , feed_(feed)
     , catchUp_(catchUp)
+    , store_(store)
     , authenticator_(std::move(authenticator))
     , dataSocket_(dataSocket)
     , reportSocket_(reportSocket)
     , decider_(options)
+    , watcherChoice_({ .self = options.self,
+          .failureDomain = options.failureDomain,
+          .watchersPerDomain = settings.store.watchersPerDomain })
     , buffers_(std::make_unique<Buffers>())
     , reportSequence_(startSequence())
 {
@@ -117,15 +125,19 @@
 
 void PacketThread::run()
 {
+    startedAt_ = std::chrono::steady_clock::now();
     while (!worker_.isStopping()) {
         const Base::TimePoint now = std::chrono::steady_clock::now();
         notePause(now);
         takeBeliefs(now);
+        // Right after the start, packets wait in the socket for the first configuration.
+        const bool mayDecide = decider_.isComplete() || now - startedAt_ > longestWait;
         // The answers that timers wait for may be among the packets that are still unread.
-        if (takePackets(now))
+        if (mayDecide && takePackets(now))
             continue;
         takeReports(now);
         sendReoffers(now);
+        chooseWatcher(now);
         sendReports(now);
         publish(now);
         sleepUntilNextTimer(now);
@@ -233,7 +245,8 @@
             ++figures_.reportsIgnored;
             continue;
         }
-        catchUp_.notePeer(report.value->sender, report.value->revision);
+        catchUp_.notePeer(
+            report.value->sender, report.value->revision, store_.view() == Steering::StoreView::NotWatching);
     }
 }
 
@@ -259,22 +272,40 @@
         transmit();
 }
 
+void PacketThread::chooseWatcher(Base::TimePoint now)
+{
+    store_.setWatching(watcherChoice_.isWatcher(now, decider_.peers()));
+    const auto view = store_.view();
+    if (view == Steering::StoreView::NotWatching) {
+        feed_.setStoreReachable(
+            Steering::WatcherChoice::isStoreAnswering(now, view, decider_.peers()), "according to peers");
+    }
+    // Who follows the store tells at once what it has heard; all others may wait for their next report.
+    if (view == Steering::StoreView::Answers && feed_.revision() != reportedRevision_) {
+        nextNearReport_ = now;
+        nextFarReport_ = now;
+    }
+}
+
 void PacketThread::sendReports(Base::TimePoint now)
 {
     const bool isNearDue = now >= nextNearReport_;
     const bool isFarDue = now >= nextFarReport_;
     if (!isNearDue && !isFarDue)
         return;
+    const auto peerCount = static_cast<int64_t>(decider_.peers().size());
     if (isNearDue)
-        nextNearReport_ = now + nearReportInterval;
+        nextNearReport_ = now + std::max(nearReportInterval, timeForEachPeer * peerCount);
     if (isFarDue)
-        nextFarReport_ = now + farReportInterval;
+        nextFarReport_ = now + std::max(farReportInterval, 2 * timeForEachPeer * peerCount);
     if (decider_.peers().empty())
         return;
     const auto body = Steering::encodeLoadReport({ .sender = Base::EntryVmId::fromEndpoint(settings_.control.endpoint),
         .sequence = ++reportSequence_,
         .revision = feed_.revision(),
+        .store = store_.view(),
         .loads = decider_.ownLoads() });
+    reportedRevision_ = feed_.revision();
     const auto code = authenticator_.sign(body);
     std::vector<std::byte> datagram(code.begin(), code.end());
     datagram.insert(datagram.end(), body.begin(), body.end());
@@ -310,7 +341,8 @@
     auto due = std::min(decider_.nextTimer(now), nextNearReport_);
     const auto left = std::chrono::ceil<Base::milliseconds>(due - now);
     const auto atMost = std::clamp(left, Base::milliseconds(1), longestSleep);
-    wakeup_.sleep({ dataSocket_, reportSocket_ }, atMost,
+    const bool isWaiting = !decider_.isComplete() && now - startedAt_ <= longestWait;
+    wakeup_.sleep({ isWaiting ? -1 : dataSocket_, reportSocket_ }, atMost,
         [this] { return feed_.isEmpty() && !worker_.isStopping() && leaving_.load() == isStopApplied_; });
 }
 
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -6,8 +6,10 @@
 #include <LibEntry/BeliefFeed.h>
 #include <LibEntry/CatchUpThread.h>
 #include <LibEntry/EntrySettings.h>
+#include <LibEntry/StoreThread.h>
 #include <LibEntry/Worker.h>
 #include <LibPeer/Authenticator.h>
+#include <LibSteering/Process/WatcherChoice.h>
 #include <LibSteering/SteeringDecider.h>
 #include <platform/PacketCodec.h>
 
@@ -33,7 +35,8 @@
 class PacketThread {
 public:
     /// Unavailable when a socket cannot be bound.
-    static Base::ErrorOr<std::unique_ptr<PacketThread>> create(const EntrySettings&, BeliefFeed&, CatchUpThread&);
+    static Base::ErrorOr<std::unique_ptr<PacketThread>> create(
+        const EntrySettings&, BeliefFeed&, CatchUpThread&, StoreThread&);
     ~PacketThread();
     PacketThread(const PacketThread&) = delete;
     PacketThread& operator=(const PacketThread&) = delete;
@@ -59,7 +62,7 @@
 
     struct Buffers;
 
-    PacketThread(const EntrySettings&, BeliefFeed&, CatchUpThread&, Peer::Authenticator, int dataSocket,
+    PacketThread(const EntrySettings&, BeliefFeed&, CatchUpThread&, StoreThread&, Peer::Authenticator, int dataSocket,
         int reportSocket, const Steering::SteeringDecider::Options&);
 
     void run();
@@ -69,6 +72,8 @@
     void decidePacket(Base::TimePoint now, std::span<std::byte> buffer);
     void takeReports(Base::TimePoint now);
     void sendReoffers(Base::TimePoint now);
+    /// Decides who follows the store, and what this means for what is known of it.
+    void chooseWatcher(Base::TimePoint now);
     void sendReports(Base::TimePoint now);
     void sleepUntilNextTimer(Base::TimePoint now);
     void notePause(Base::TimePoint now);
@@ -78,10 +83,13 @@
     const EntrySettings& settings_;
     BeliefFeed& feed_;
     CatchUpThread& catchUp_;
+    StoreThread& store_;
     Peer::Authenticator authenticator_;
     int dataSocket_;
     int reportSocket_;
     Steering::SteeringDecider decider_;
+    Steering::WatcherChoice watcherChoice_;
+    uint64_t reportedRevision_ { 0 };
     std::unique_ptr<Buffers> buffers_;
     Datagram::SendBatch batch_;
     Datagram::Wakeup wakeup_;
@@ -95,6 +103,7 @@
     Base::TimePoint nextFarReport_ {};
     Base::TimePoint nextPublish_ {};
     Base::TimePoint lastLoop_ {};
+    Base::TimePoint startedAt_ {};
     mutable std::mutex figuresMutex_;
     PacketFigures figures_;
     PacketFigures published_;
--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -14,6 +14,8 @@
     /// Calls are priced also when they are refused; configuration has to be in force within seconds of a return.
     constexpr Base::milliseconds firstPause { 100 };
     constexpr Base::milliseconds longestPause { 800 };
+    constexpr Base::milliseconds restTime { 5000 };
+    constexpr Base::milliseconds gatherTime { 250 };
 
 }
 
@@ -31,9 +33,19 @@
     worker_.start([this] { run(); });
 }
 
+void StoreThread::setWatching(bool isWatching)
+{
+    if (watching_.exchange(isWatching) != isWatching)
+        worker_.wake();
+}
+
 void StoreThread::run()
 {
     while (!worker_.isStopping()) {
+        if (feed_.isSynchronized() && !watching_.load()) {
+            rest();
+            continue;
+        }
         if (follow() || worker_.isStopping())
             continue;
         const auto doublings = std::min<uint32_t>(failures_, 5);
@@ -44,16 +56,25 @@
     }
 }
 
+void StoreThread::rest()
+{
+    if (view_.exchange(Steering::StoreView::NotWatching) != Steering::StoreView::NotWatching) {
+        client_.close();
+        Log::write(Events::watchEnded, Log::Fields().add("revision", feed_.revision()));
+    }
+    worker_.pause(restTime);
+}
+
 bool StoreThread::follow()
 {
-    const auto call = hasRead_ ? StoreCall::Watch : StoreCall::Read;
-    const auto answer = hasRead_
-        ? client_.watch(Platform::Names::keyPrefixAll, feed_.revision(), settings_.store.watchTime)
-        : client_.readAll(Platform::Names::keyPrefixAll);
-    counters_.count(call, answer.outcome);
+    const bool mustRead = !feed_.isSynchronized() || isHistoryGone_;
+    const auto answer = mustRead
+        ? client_.readAll(Platform::Names::keyPrefixAll)
+        : client_.watch(Platform::Names::keyPrefixAll, feed_.revision(), settings_.store.watchTime);
+    counters_.count(mustRead ? StoreCall::Read : StoreCall::Watch, answer.outcome);
     if (answer.outcome == Platform::StoreOutcome::HistoryGone) {
         Log::write(Events::historyGone, Log::Fields().add("revision", feed_.revision()));
-        hasRead_ = false;
+        isHistoryGone_ = true;
         return true;
     }
     if (worker_.isStopping())
@@ -63,17 +84,24 @@
         return false;
     }
     failures_ = 0;
+    isHistoryGone_ = false;
+    if (view_.exchange(Steering::StoreView::Answers) == Steering::StoreView::NotWatching)
+        Log::write(Events::watchBegun, Log::Fields().add("revision", feed_.revision()));
     feed_.setStoreReachable(true, "answered");
     feed_.apply(answer.value, "store");
-    hasRead_ = true;
+    // Changes come in series; a call for each of them would cost more than the little time.
+    if (!answer.value.records.empty())
+        worker_.pause(gatherTime);
     return true;
 }
 
 void StoreThread::noteFailure(Platform::StoreOutcome outcome, const std::string& detail)
 {
     ++failures_;
-    if (failures_ >= failuresUntilLost)
-        feed_.setStoreReachable(false, std::string(Platform::toString(outcome)) + ": " + detail);
+    if (failures_ < failuresUntilLost)
+        return;
+    view_.store(Steering::StoreView::Silent);
+    feed_.setStoreReachable(false, std::string(Platform::toString(outcome)) + ": " + detail);
 }
 
 }
--- a/Libraries/LibEntry/StoreThread.h
+++ b/Libraries/LibEntry/StoreThread.h
@@ -5,6 +5,7 @@
 #include <LibEntry/EntrySettings.h>
 #include <LibEntry/StoreCounters.h>
 #include <LibEntry/Worker.h>
+#include <LibSteering/Process/LoadReport.h>
 #include <platform/StoreClient.h>
 
 namespace Entry {
@@ -16,6 +17,10 @@
     StoreThread(const EntrySettings&, BeliefFeed&, StoreCounters&);
 
     void start();
+    /// Whether this entry VM follows the store itself, or hears from peers. Any thread.
+    void setWatching(bool);
+    /// How the store answers this entry VM. Any thread.
+    Steering::StoreView view() const { return view_.load(std::memory_order_relaxed); }
     void stop()
     {
         worker_.askToStop();
@@ -25,6 +30,8 @@
 
 private:
     void run();
+    /// Waits until this entry VM is to follow the store again.
+    void rest();
     /// Whether the call succeeded.
     bool follow();
     void noteFailure(Platform::StoreOutcome, const std::string& detail);
@@ -34,8 +41,10 @@
     StoreCounters& counters_;
     Platform::StoreClient client_;
     Base::Random random_;
-    /// The store itself has been read as a whole; what peers told is then no longer needed to start from.
-    bool hasRead_ { false };
+    std::atomic<bool> watching_ { true };
+    std::atomic<Steering::StoreView> view_ { Steering::StoreView::NotWatching };
+    /// The store has forgotten the changes after the revision held.
+    bool isHistoryGone_ { false };
     uint32_t failures_ { 0 };
     Worker worker_;
 };
--- a/Libraries/LibSteering/Process/LoadReport.cpp
+++ b/Libraries/LibSteering/Process/LoadReport.cpp
@@ -12,7 +12,7 @@
     using Json = nlohmann::json;
     using Base::ErrorCode;
 
-    constexpr std::size_t reportFields = 5;
+    constexpr std::size_t reportFields = 6;
     /// More work in progress than any server bears; larger numbers are not believed.
     constexpr uint64_t maximumInProgress = 100'000;
 
@@ -28,24 +28,26 @@
         numbers.push_back(load.number.value);
         counts.push_back(load.inProgress);
     }
-    return Peer::writeMsgpack(
-        Json::array({ report.sender.value, report.sequence, report.revision, std::move(numbers), std::move(counts) }));
+    return Peer::writeMsgpack(Json::array({ report.sender.value, report.sequence, report.revision,
+        static_cast<uint64_t>(report.store), std::move(numbers), std::move(counts) }));
 }
 
 Base::ErrorOr<LoadReport> decodeLoadReport(std::span<const std::byte> bytes)
 {
     TRY_ASSIGN(value, Peer::readMsgpack(bytes));
     const bool isReport = value.is_array() && value.size() == reportFields
-        && std::all_of(value.begin(), value.begin() + 3, isUnsigned) && value[3].is_array() && value[4].is_array()
-        && value[3].size() == value[4].size();
+        && std::all_of(value.begin(), value.begin() + 4, isUnsigned)
+        && value[3].get<uint64_t>() <= static_cast<uint64_t>(StoreView::Silent) && value[4].is_array()
+        && value[5].is_array() && value[4].size() == value[5].size();
     if (!isReport)
-        return Base::makeError(ErrorCode::Malformed, "expected [sender, sequence, revision, numbers, counts]");
+        return Base::makeError(ErrorCode::Malformed, "expected [sender, sequence, revision, store, numbers, counts]");
     LoadReport report { .sender = { value[0].get<uint64_t>() },
         .sequence = value[1].get<uint64_t>(),
-        .revision = value[2].get<uint64_t>() };
-    for (std::size_t index = 0; index < value[3].size(); ++index) {
-        const auto& number = value[3][index];
-        const auto& count = value[4][index];
+        .revision = value[2].get<uint64_t>(),
+        .store = static_cast<StoreView>(value[3].get<uint64_t>()) };
+    for (std::size_t index = 0; index < value[4].size(); ++index) {
+        const auto& number = value[4][index];
+        const auto& count = value[5][index];
         if (!isUnsigned(number) || !isUnsigned(count) || count.get<uint64_t>() > maximumInProgress)
             return Base::makeError(ErrorCode::Malformed, "expected a number and a count for each server");
         report.loads.push_back({ { number.get<uint64_t>() }, static_cast<uint32_t>(count.get<uint64_t>()) });
--- a/Libraries/LibSteering/Process/PeerLoads.cpp
+++ b/Libraries/LibSteering/Process/PeerLoads.cpp
@@ -46,6 +46,7 @@
     subtract(peer);
     peer.sequence = report.sequence;
     peer.revision = report.revision;
+    peer.store = report.store;
     peer.heardAt = now;
     for (const auto& load : report.loads) {
         const auto index = servers_.find(load.number);
--- a/Libraries/LibSteering/Process/PeerLoads.h
+++ b/Libraries/LibSteering/Process/PeerLoads.h
@@ -15,6 +15,7 @@
         Base::Ipv4Endpoint reports;
         uint64_t sequence { 0 };
         uint64_t revision { 0 };
+        StoreView store { StoreView::NotWatching };
         /// When the last report came; the epoch: none yet.
         Base::TimePoint heardAt {};
         std::vector<ServerLoad> loads;
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -96,6 +96,8 @@
     std::vector<ServerLoad> ownLoads();
     const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers() const { return peerLoads_.peers(); }
 
+    /// Whether a configuration and everything else that the store holds is known.
+    bool isComplete() const { return isSynchronized_ && configuration_ != nullptr; }
     void stop() { readiness_.setStopping(); }
     bool isReady(Base::TimePoint now) const { return readiness_.isReady(now); }
     bool isIsolated(Base::TimePoint now) const { return readiness_.isIsolated(now); }
--- /dev/null
+++ b/Tests/LibSteering/TestWatcherChoice.cpp
@@ -0,0 +1,76 @@
+#include "Fixture.h"
+
+#include <LibSteering/Process/WatcherChoice.h>
+#include <catch2/catch.hpp>
+
+using Steering::StoreView;
+using Steering::WatcherChoice;
+
+namespace {
+
+using Peers = std::unordered_map<Base::EntryVmId, Steering::PeerLoads::Peer>;
+
+constexpr uint32_t fleetSize = 8;
+const auto now = Base::TimePoint {} + Base::milliseconds(60'000);
+
+/// What each entry VM of one failure domain knows of the others; views: how the store answers each.
+std::vector<uint32_t> watchers(const std::vector<StoreView>& views, const std::vector<bool>& isHeard)
+{
+    std::vector<uint32_t> chosen;
+    for (uint32_t self = 0; self < fleetSize; ++self) {
+        Peers peers;
+        for (uint32_t other = 0; other < fleetSize; ++other) {
+            if (other == self)
+                continue;
+            peers[SteeringFixture::peer(other + 1)] = { .failureDomain = "brum",
+                .store = views[other],
+                .heardAt = isHeard[other] ? now : now - Base::milliseconds(1500) };
+        }
+        peers[SteeringFixture::peer(99)] = { .failureDomain = "notts", .store = StoreView::Answers, .heardAt = now };
+        const WatcherChoice choice({ .self = SteeringFixture::peer(self + 1), .failureDomain = "brum" });
+        if (isHeard[self] && choice.isWatcher(now, peers))
+            chosen.push_back(self);
+    }
+    return chosen;
+}
+
+}
+
+TEST_CASE("one entry VM of a failure domain follows the store, and another when it falls silent")
+{
+    std::vector<StoreView> views(fleetSize, StoreView::NotWatching);
+    std::vector<bool> isHeard(fleetSize, true);
+    for (int round = 0; round < 4; ++round) {
+        const auto chosen = watchers(views, isHeard);
+        REQUIRE(chosen.size() == 1);
+        isHeard[chosen[0]] = false;
+    }
+}
+
+TEST_CASE("an entry VM that the store turns away keeps trying while another takes over")
+{
+    std::vector<StoreView> views(fleetSize, StoreView::NotWatching);
+    const std::vector<bool> isHeard(fleetSize, true);
+    views[watchers(views, isHeard)[0]] = StoreView::Silent;
+    CHECK(watchers(views, isHeard).size() == 2);
+}
+
+TEST_CASE("while the store answers nobody, only a few of a failure domain keep trying")
+{
+    const std::vector<StoreView> views(fleetSize, StoreView::Silent);
+    CHECK(watchers(views, std::vector<bool>(fleetSize, true)).size() == 3);
+}
+
+TEST_CASE("an entry VM that does not follow the store believes the watchers it has heard")
+{
+    Peers peers;
+    peers[SteeringFixture::peer(1)] = { .store = StoreView::NotWatching, .heardAt = now };
+    CHECK(WatcherChoice::isStoreAnswering(now, StoreView::NotWatching, peers));
+    CHECK_FALSE(WatcherChoice::isStoreAnswering(now, StoreView::Silent, peers));
+    peers[SteeringFixture::peer(2)] = { .store = StoreView::Silent, .heardAt = now };
+    CHECK_FALSE(WatcherChoice::isStoreAnswering(now, StoreView::NotWatching, peers));
+    peers[SteeringFixture::peer(3)] = { .store = StoreView::Answers, .heardAt = now };
+    CHECK(WatcherChoice::isStoreAnswering(now, StoreView::NotWatching, peers));
+    peers[SteeringFixture::peer(3)].heardAt = now - Base::milliseconds(1500);
+    CHECK_FALSE(WatcherChoice::isStoreAnswering(now, StoreView::NotWatching, peers));
+}
