LibLog, LibEntry: Write JSON lines on standard output, bounded, by a thread of their own

Cause: log lines went to standard error as text, printed by the thread that wrote them, so that a stalled reader would have stopped packets; nothing led from a request's id to its flow; SIGHUP did not read the settings again.

Change: a bounded queue and a printing thread; each event has its limit of lines a second, what is left out is itself a line and a counter; entryd logs each first packet's placement with what decided it, each request's id with its flow and backend server, and flows that never open; handshake histogram, readiness, version and log counters in the metrics; SIGHUP reads the settings again (seeds, debug events). The control library's fields become one detail field.

--- a/Libraries/LibBalancer/ControlThread.cpp
+++ b/Libraries/LibBalancer/ControlThread.cpp
@@ -288,7 +288,7 @@
 
 void ControlThread::performAction(Base::TimePoint, const Control::LogEvent& action)
 {
-    Log::write(findControlEvent(action.number), action.fields);
+    Log::write(findControlEvent(action.number), Log::Fields().add("detail", action.fields));
 }
 
 }
--- a/Libraries/LibEntry/BeliefFeed.cpp
+++ b/Libraries/LibEntry/BeliefFeed.cpp
@@ -30,7 +30,7 @@
         const auto& entry = event.entry;
         Log::write(Events::serverListed,
             Fields()
-                .add("server", entry.number.value)
+                .add("server", entry.number.toString())
                 .add("address", entry.address.toString())
                 .add("service", entry.service)
                 .add("failure_domain", entry.failureDomain)
@@ -43,7 +43,7 @@
 
     void logEvent(const Steering::ServerUnlisted& event, std::string_view source)
     {
-        Log::write(Events::serverUnlisted, Fields().add("server", event.number.value).add("source", source));
+        Log::write(Events::serverUnlisted, Fields().add("server", event.number.toString()).add("source", source));
     }
 
     void logEvent(const Steering::DomainEvacuation& event, std::string_view source)
--- a/Libraries/LibEntry/CatchUpThread.cpp
+++ b/Libraries/LibEntry/CatchUpThread.cpp
@@ -21,9 +21,16 @@
 CatchUpThread::CatchUpThread(const EntrySettings& settings, BeliefFeed& feed)
     : settings_(settings)
     , feed_(feed)
+    , seeds_(settings.control.seeds)
 {
 }
 
+void CatchUpThread::setSeeds(std::vector<Base::Ipv4Endpoint> seeds)
+{
+    const std::scoped_lock lock(mutex_);
+    seeds_ = std::move(seeds);
+}
+
 void CatchUpThread::start()
 {
     worker_.start([this] { run(); });
@@ -46,16 +53,13 @@
 
 CatchUpThread::Candidate CatchUpThread::nextPeer()
 {
-    {
-        const std::scoped_lock lock(mutex_);
-        if (newestRevision_ > feed_.revision())
-            return { .peer = newestPeer_, .isUrgent = isUrgent_ };
-    }
-    const auto& seeds = settings_.control.seeds;
-    if (feed_.isSynchronized() || seeds.empty())
+    const std::scoped_lock lock(mutex_);
+    if (newestRevision_ > feed_.revision())
+        return { .peer = newestPeer_, .isUrgent = isUrgent_ };
+    if (feed_.isSynchronized() || seeds_.empty())
         return {};
-    const auto seed = seeds[nextSeed_++ % seeds.size()];
-    if (seed == settings_.control.endpoint)
+    const auto seed = seeds_[nextSeed_++ % seeds_.size()];
+    if (Base::EntryVmId::fromEndpoint(seed) == settings_.identity())
         return {};
     return { .peer = Base::EntryVmId::fromEndpoint(seed), .isUrgent = true };
 }
--- a/Libraries/LibEntry/CatchUpThread.h
+++ b/Libraries/LibEntry/CatchUpThread.h
@@ -18,6 +18,8 @@
     void askToStop() { worker_.askToStop(); }
     void stop() { worker_.stop(); }
 
+    /// Whom to ask while nothing is known. Any thread.
+    void setSeeds(std::vector<Base::Ipv4Endpoint>);
     /// A peer holds records up to a revision. urgent: this entry VM does not follow the store itself, so that there is
     /// nothing to wait for. Any thread.
     void notePeer(Base::EntryVmId, uint64_t revision, bool isUrgent);
@@ -43,6 +45,7 @@
     Base::EntryVmId newestPeer_;
     uint64_t newestRevision_ { 0 };
     bool isUrgent_ { false };
+    std::vector<Base::Ipv4Endpoint> seeds_;
     std::size_t nextSeed_ { 0 };
     /// The connection to the peer that was asked last.
     std::optional<Peer::QueryClient> client_;
--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include <LibEntry/Events.h>
 #include <LibLog/Log.h>
+#include <LibLog/ProgramEvents.h>
 #include <platform/Names.h>
 
 namespace Entry {
@@ -53,6 +54,21 @@
 {
 }
 
+Base::ErrorOr<void> EntryDaemon::reload(const std::string& file)
+{
+    TRY_ASSIGN(changed, readSettings(file));
+    catchUp_.setSeeds(changed.control.seeds);
+    Log::setDebug(changed.debugEvents);
+    const bool needsRestart = changed.data != settings_.data || changed.reports != settings_.reports
+        || changed.readiness != settings_.readiness || changed.metrics != settings_.metrics
+        || changed.control.endpoint != settings_.control.endpoint || changed.control.keys != settings_.control.keys
+        || changed.store.endpoint != settings_.store.endpoint || changed.failureDomain != settings_.failureDomain
+        || changed.regions != settings_.regions;
+    Log::write(Log::ProgramEvents::reloaded,
+        Log::Fields().add("file", file).add("seeds", changed.control.seeds.size()).add("restart", needsRestart));
+    return {};
+}
+
 void EntryDaemon::start()
 {
     packets_->start();
@@ -68,6 +84,7 @@
 
 int EntryDaemon::run(Program::Signals& signals)
 {
+    Log::setDebug(settings_.debugEvents);
     start();
     while (!signals.waitForStop(metricsInterval))
         metrics_.update(packets_->figures(), storeCounters_, feed_);
--- a/Libraries/LibEntry/EntryDaemon.h
+++ b/Libraries/LibEntry/EntryDaemon.h
@@ -17,6 +17,8 @@
     /// Unavailable when an endpoint cannot be bound. The settings must outlive the daemon.
     static Base::ErrorOr<std::unique_ptr<EntryDaemon>> create(const EntrySettings&);
 
+    /// Reads the settings file again: seeds and debug events change at once, the rest needs a restart.
+    Base::ErrorOr<void> reload(const std::string& file);
     /// Runs until a stop is asked for and open flows had time to end; the process's exit code.
     int run(Program::Signals&);
 
--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -1,11 +1,27 @@
 #include <LibEntry/EntryMetrics.h>
 
+#include <LibLog/Log.h>
+
 namespace Entry {
 
 using Metrics::raiseTo;
 
+namespace {
+
+    std::vector<double> handshakeBuckets()
+    {
+        std::vector<double> bounds;
+        for (const auto bound : Steering::handshakeBounds)
+            bounds.push_back(Base::toSeconds(bound));
+        return bounds;
+    }
+
+}
+
 EntryMetrics::EntryMetrics()
-    : forwarded_(registry_.counter("eelgrasshatch_packets_forwarded_total", "Packets sent to backend servers."))
+    : handshakes_(registry_.histogram("eelgrasshatch_handshake_seconds",
+        "Time from a flow's first packet to its completed handshake.", handshakeBuckets()))
+    , forwarded_(registry_.counter("eelgrasshatch_packets_forwarded_total", "Packets sent to backend servers."))
     , firstPackets_(registry_.counter("eelgrasshatch_first_packets_total", "Flows that callers asked for."))
     , copies_(registry_.counter("eelgrasshatch_first_packet_copies_total", "Repeated first packets of callers."))
     , reoffers_(registry_.counter(
@@ -20,11 +36,17 @@
           "Load reports of strangers, malformed or overtaken by a newer one."))
     , recordsRefused_(
           registry_.counter("eelgrasshatch_records_refused_total", "Records of the store that could not be read."))
+    , logLinesDropped_(registry_.counter(
+          "eelgrasshatch_log_lines_dropped_total", "Log lines left out because of an event's limit or a full queue."))
+    , reportsReceived_(registry_.counter("eelgrasshatch_load_reports_received_total", "Load reports of peers."))
     , flows_(registry_.gauge("eelgrasshatch_flows", "Flows whose progress is followed."))
     , servers_(registry_.gauge("eelgrasshatch_backend_servers", "Backend servers known, departed ones included."))
     , peers_(registry_.gauge("eelgrasshatch_peers", "Other entry VMs known."))
     , revision_(registry_.gauge("eelgrasshatch_store_revision", "Revision of the store that is held."))
     , storeReachable_(registry_.gauge("eelgrasshatch_store_reachable", "1 while the store answers."))
+    , ready_(registry_.gauge("eelgrasshatch_ready", "1 while callers may be sent here."))
+    , configurationVersion_(
+          registry_.gauge("eelgrasshatch_configuration_version", "The operators' version that is in force here."))
 {
     for (std::size_t index = 0; index < refused_.size(); ++index) {
         const auto reason = static_cast<Steering::Refusal>(index);
@@ -55,6 +77,11 @@
 void EntryMetrics::update(const PacketFigures& figures, const StoreCounters& store, const BeliefFeed& feed)
 {
     const auto& steering = figures.steering;
+    std::vector<double> increments;
+    for (std::size_t bucket = 0; bucket < steering.handshakes.size(); ++bucket)
+        increments.push_back(static_cast<double>(steering.handshakes[bucket] - lastSteering_.handshakes[bucket]));
+    handshakes_.ObserveMultiple(increments, Base::toSeconds(steering.handshakeSum - lastSteering_.handshakeSum));
+    lastSteering_ = steering;
     raiseTo(forwarded_, static_cast<double>(steering.forwarded));
     raiseTo(firstPackets_, static_cast<double>(steering.firstPackets));
     raiseTo(copies_, static_cast<double>(steering.copies));
@@ -77,6 +104,10 @@
             raiseTo(*storeCalls_[call][outcome], static_cast<double>(total));
         }
     }
+    raiseTo(logLinesDropped_, static_cast<double>(Log::droppedLines()));
+    raiseTo(reportsReceived_, static_cast<double>(figures.reportsReceived));
+    ready_.Set(figures.isReady ? 1 : 0);
+    configurationVersion_.Set(static_cast<double>(figures.configurationVersion));
     flows_.Set(static_cast<double>(figures.flows));
     servers_.Set(static_cast<double>(figures.servers));
     peers_.Set(static_cast<double>(figures.peers));
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -23,6 +23,8 @@
     std::array<prometheus::Counter*, Steering::refusalCount> refused_ {};
     std::array<prometheus::Counter*, 3> chosen_ {};
     std::array<std::array<prometheus::Counter*, Platform::storeOutcomeCount>, storeCallCount> storeCalls_ {};
+    prometheus::Histogram& handshakes_;
+    Steering::SteeringStatistics lastSteering_;
     prometheus::Counter& forwarded_;
     prometheus::Counter& firstPackets_;
     prometheus::Counter& copies_;
@@ -35,11 +37,15 @@
     prometheus::Counter& reportsSent_;
     prometheus::Counter& reportsIgnored_;
     prometheus::Counter& recordsRefused_;
+    prometheus::Counter& logLinesDropped_;
+    prometheus::Counter& reportsReceived_;
     prometheus::Gauge& flows_;
     prometheus::Gauge& servers_;
     prometheus::Gauge& peers_;
     prometheus::Gauge& revision_;
     prometheus::Gauge& storeReachable_;
+    prometheus::Gauge& ready_;
+    prometheus::Gauge& configurationVersion_;
 };
 
 }
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -14,6 +14,12 @@
                 = "TCP address where other entry VMs ask for the store's records; this entry VM's identity.",
                 .required = true,
                 .listens = true });
+        schema.addEndpoint("control.advertised", settings.control.advertised,
+            { .documentation
+                = "Where other entry VMs reach the control endpoint, if not at its own address; the identity "
+                  "then." });
+        schema.addEndpoint("reports.advertised", settings.advertisedReports,
+            { .documentation = "Where other entry VMs reach the reports endpoint, if not at its own address." });
         schema.addEndpointList("control.seeds", settings.control.seeds, { .maximum = 64 },
             { .documentation = "Control endpoints of entry VMs to ask while the store does not answer." });
         schema.addTextList("control.keys", settings.control.keys, { .minimum = 1, .maximum = 2 }, keyBytes,
@@ -57,6 +63,8 @@
         { .documentation = "Name of the failure domain this entry VM is in.", .required = true });
     schema.addTextList("regions", settings.regions, { .minimum = 1, .maximum = 256 }, { .minimum = 3, .maximum = 129 },
         { .documentation = "\"FAILURE_DOMAIN=REGION\" for each failure domain.", .required = true });
+    schema.addBoolean("log.debug", settings.debugEvents,
+        { .documentation = "Whether debug events are written; read again at SIGHUP." });
     declareEndpoints(schema, settings);
     declareStore(schema, settings.store);
     schema.addInteger("limits.maximum_flows", settings.limits.maximumFlows, { .minimum = 1, .maximum = 10'000'000 },
@@ -76,6 +84,16 @@
                            "1.5 s before that at the longest." });
 }
 
+Base::ErrorOr<EntrySettings> readSettings(const std::string& file)
+{
+    EntrySettings settings;
+    Settings::Schema schema;
+    declareSettings(schema, settings);
+    TRY(schema.readFile(file));
+    TRY(regionsOf(settings));
+    return settings;
+}
+
 Base::ErrorOr<std::map<std::string, std::string>> regionsOf(const EntrySettings& settings)
 {
     std::map<std::string, std::string> regions;
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/Identifiers.h>
 #include <LibBase/Ipv4Endpoint.h>
 #include <LibBase/Time.h>
 #include <LibSettings/Schema.h>
@@ -15,15 +16,20 @@
     std::string failureDomain;
     /// "FAILURE_DOMAIN=REGION" for each failure domain.
     std::vector<std::string> regions;
+    bool debugEvents { false };
 
     struct Control {
         Base::Ipv4Endpoint endpoint;
+        /// Port 0: the endpoint itself.
+        Base::Ipv4Endpoint advertised;
         std::vector<Base::Ipv4Endpoint> seeds;
         std::vector<std::string> keys;
     } control;
 
     Base::Ipv4Endpoint data;
     Base::Ipv4Endpoint reports;
+    /// Port 0: the endpoint itself.
+    Base::Ipv4Endpoint advertisedReports;
     Base::Ipv4Endpoint readiness;
     Base::Ipv4Endpoint metrics;
 
@@ -48,11 +54,22 @@
     struct Stop {
         Base::milliseconds grace { 6000 };
     } stop;
+
+    /// This entry VM's identity: where peers reach its control endpoint.
+    Base::EntryVmId identity() const
+    {
+        return Base::EntryVmId::fromEndpoint(control.advertised.port != 0 ? control.advertised : control.endpoint);
+    }
+    /// Where peers send load reports.
+    Base::Ipv4Endpoint reportsForPeers() const { return advertisedReports.port != 0 ? advertisedReports : reports; }
 };
 
 /// Declares the keys of the settings file.
 void declareSettings(Settings::Schema&, EntrySettings&);
 
+/// Reads a settings file; the detail of an error names the file and the key.
+Base::ErrorOr<EntrySettings> readSettings(const std::string& file);
+
 /// Region of each failure domain. InvalidArgument for a text of another form.
 Base::ErrorOr<std::map<std::string, std::string>> regionsOf(const EntrySettings&);
 
--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -10,14 +10,30 @@
 using Log::Event;
 using Log::Level;
 
-inline constexpr Event flowPlaced { 5001, "flow_placed", Level::Debug,
-    "A flow's first packet was sent to a backend server; the fields tell what decided the choice." };
+/// Most lines a second of the events that come with each flow. At the busiest day's rate of a machine, about 160 flows
+/// a second, nothing is left out; at ten times the load the log grows no further.
+inline constexpr uint32_t flowLinesPerSecond = 400;
+/// Of events about single backend servers; a start with thousands of them must not flood the log.
+inline constexpr uint32_t serverLinesPerSecond = 1000;
+
+inline constexpr Event flowPlaced { 5001, "flow_placed", Level::Info,
+    "A flow's first packet was sent to a backend server; the fields tell what decided the choice.",
+    flowLinesPerSecond };
 inline constexpr Event flowOffered { 5002, "flow_offered_again", Level::Info,
-    "The first backend server gave no sign of life in time, or the caller sent a copy; another one gets the flow." };
+    "The backend server before gave no sign of life in time (reoffered), or the caller sent a copy (copied); another "
+    "one "
+    "gets the flow.",
+    flowLinesPerSecond };
 inline constexpr Event flowOpened { 5003, "flow_opened_late", Level::Info,
-    "A flow that was offered to several backend servers opened at this one." };
+    "A flow that was offered to several backend servers opened at this one.", flowLinesPerSecond };
 inline constexpr Event flowRefused { 5004, "flow_refused", Level::Info,
-    "A packet was not forwarded; reason is the counter's name." };
+    "A packet was not forwarded; reason is the counter's name.", flowLinesPerSecond };
+inline constexpr Event flowNeverOpened { 5005, "flow_never_opened", Level::Info,
+    "No handshake was seen within the time that callers wait; server is the last one that was offered the flow.",
+    flowLinesPerSecond };
+inline constexpr Event requestSeen { 5006, "request_seen", Level::Info,
+    "A packet with the head of a request passed; outcome tells whether it was forwarded, and to whom.",
+    flowLinesPerSecond };
 inline constexpr Event readinessChanged { 5010, "readiness_changed", Level::Info,
     "Callers may, or may no longer, be sent to this entry VM; isolated: no backend server answers." };
 inline constexpr Event leaving { 5011, "leaving", Level::Info, "A stop was asked for; open flows are still served." };
@@ -27,13 +43,13 @@
 inline constexpr Event configurationInForce { 5020, "configuration_in_force", Level::Info,
     "A newer configuration was taken over; source says from whom." };
 inline constexpr Event serverListed { 5021, "backend_server_listed", Level::Info,
-    "A backend server registered or changed its entry." };
+    "A backend server registered or changed its entry.", serverLinesPerSecond };
 inline constexpr Event serverUnlisted { 5022, "backend_server_unlisted", Level::Info,
-    "A backend server's entry is gone." };
+    "A backend server's entry is gone.", serverLinesPerSecond };
 inline constexpr Event domainEvacuated { 5023, "domain_evacuation", Level::Info,
     "Operators took a failure domain out, or took it back." };
 inline constexpr Event recordRefused { 5024, "record_refused", Level::Warning,
-    "A record of the store could not be read; it names nothing that is used." };
+    "A record of the store could not be read; it names nothing that is used.", serverLinesPerSecond };
 inline constexpr Event peerListed { 5025, "peer_listed", Level::Info, "Another entry VM registered." };
 inline constexpr Event peerUnlisted { 5026, "peer_unlisted", Level::Info, "Another entry VM's registration ended." };
 inline constexpr Event beliefsComplete { 5027, "beliefs_complete", Level::Info,
@@ -56,9 +72,9 @@
     "Another entry VM of the failure domain follows the store; this one hears from it." };
 
 /// All events of this area, in the order of their numbers.
-inline constexpr std::array all { flowPlaced, flowOffered, flowOpened, flowRefused, readinessChanged, leaving, left,
-    processPaused, configurationInForce, serverListed, serverUnlisted, domainEvacuated, recordRefused, peerListed,
-    peerUnlisted, beliefsComplete, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp,
-    peerSilent, watchBegun, watchEnded };
+inline constexpr std::array all { flowPlaced, flowOffered, flowOpened, flowRefused, flowNeverOpened, requestSeen,
+    readinessChanged, leaving, left, processPaused, configurationInForce, serverListed, serverUnlisted, domainEvacuated,
+    recordRefused, peerListed, peerUnlisted, beliefsComplete, storeLost, storeRegained, historyGone, registered,
+    registrationFailed, caughtUp, peerSilent, watchBegun, watchEnded };
 
 }
--- a/Libraries/LibEntry/FlowLog.cpp
+++ b/Libraries/LibEntry/FlowLog.cpp
@@ -18,8 +18,9 @@
         case Steering::FlowDecision::Kind::Opened:
             return Events::flowOpened;
         case Steering::FlowDecision::Kind::Refused:
-        case Steering::FlowDecision::Kind::NeverOpened:
             return Events::flowRefused;
+        case Steering::FlowDecision::Kind::NeverOpened:
+            return Events::flowNeverOpened;
         }
         return Events::flowRefused;
     }
@@ -28,9 +29,6 @@
 
 void logFlowDecision(const Steering::FlowDecision& decision)
 {
-    const auto& event = eventFor(decision.kind);
-    if (event.level == Log::Level::Debug && !Log::isDebugEnabled())
-        return;
     Log::Fields fields;
     fields.add("caller", decision.flow.caller.toString())
         .add("service", decision.flow.service.toString())
@@ -39,14 +37,31 @@
     if (decision.refusal != Steering::Refusal::None) {
         fields.add("reason", Steering::toString(decision.refusal));
     } else {
-        fields.add("server", decision.server.value)
+        fields.add("server", decision.server.toString())
             .add("tier", Steering::toString(decision.tier))
             .add("own_in_progress", decision.ownInProgress)
             .add("peers_in_progress", decision.peersInProgress)
             .add("age_us", decision.age.count());
     }
     fields.add("version", decision.configurationVersion);
-    Log::write(event, fields);
+    Log::write(eventFor(decision.kind), fields);
+}
+
+void logRequest(
+    std::string_view requestId, const Steering::PacketView& packet, const Steering::Verdict& verdict, uint64_t revision)
+{
+    const bool isForwarded = verdict.kind == Steering::VerdictKind::Forward;
+    Log::Fields fields;
+    fields.add("request", requestId)
+        .add("caller", packet.flow.caller.toString())
+        .add("service", packet.flow.service.toString())
+        .add("outcome", isForwarded ? "forwarded" : "dropped")
+        .add("reason", Steering::toString(verdict.refusal))
+        .add("server", verdict.number.toString())
+        .add("address", verdict.server.toString())
+        .add("token", packet.token.value)
+        .add("revision", revision);
+    Log::write(Events::requestSeen, fields);
 }
 
 }
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <ctime>
 #include <netinet/in.h>
+#include <platform/RequestId.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -62,7 +63,7 @@
     ::setsockopt(dataSocket, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
     return std::unique_ptr<PacketThread>(
         new PacketThread(settings, feed, catchUp, store, std::move(authenticator), dataSocket, reportSocket,
-            { .self = Base::EntryVmId::fromEndpoint(settings.control.endpoint),
+            { .self = settings.identity(),
                 .failureDomain = settings.failureDomain,
                 .regions = std::move(regions),
                 .warmUpOvershoot = settings.warmUp.overshoot,
@@ -209,6 +210,8 @@
         return;
     }
     const auto verdict = decider_.decide(now, *view, packet);
+    if (const auto request = view->dataBytes > 0 ? Platform::findRequestId(packet) : std::nullopt)
+        logRequest(*request, *view, verdict, feed_.revision());
     if (verdict.kind == Steering::VerdictKind::Forward) {
         Platform::writeServerNumber(buffer.first<Platform::serverNumberBytes>(), verdict.number);
         Platform::writeToken(packet, verdict.token);
@@ -300,7 +303,7 @@
         nextFarReport_ = now + std::max(farReportInterval, 2 * timeForEachPeer * peerCount);
     if (decider_.peers().empty())
         return;
-    const auto body = Steering::encodeLoadReport({ .sender = Base::EntryVmId::fromEndpoint(settings_.control.endpoint),
+    const auto body = Steering::encodeLoadReport({ .sender = settings_.identity(),
         .sequence = ++reportSequence_,
         .revision = feed_.revision(),
         .store = store_.view(),
@@ -332,6 +335,8 @@
     figures_.flows = decider_.flowCount();
     figures_.servers = decider_.serverCount();
     figures_.peers = decider_.peers().size();
+    figures_.isReady = ready_.load(std::memory_order_relaxed);
+    figures_.configurationVersion = decider_.configurationVersion();
     const std::scoped_lock lock(figuresMutex_);
     published_ = figures_;
 }
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -28,6 +28,8 @@
     std::size_t flows { 0 };
     std::size_t servers { 0 };
     std::size_t peers { 0 };
+    bool isReady { false };
+    uint64_t configurationVersion { 0 };
 };
 
 /// Receives packets in batches, decides them and sends them on, all in one thread: with few packets a second for each
--- a/Libraries/LibEntry/RegistrationThread.cpp
+++ b/Libraries/LibEntry/RegistrationThread.cpp
@@ -49,9 +49,9 @@
         logFailure(StoreCall::Lease, lease.outcome, lease.detail);
         return false;
     }
-    const auto id = Base::EntryVmId::fromEndpoint(settings_.control.endpoint);
+    const auto id = settings_.identity();
     const Platform::EntryVmRecord record {
-        .id = id, .failureDomain = settings_.failureDomain, .reports = settings_.reports
+        .id = id, .failureDomain = settings_.failureDomain, .reports = settings_.reportsForPeers()
     };
     const auto put = client_.put({ .key = Platform::entryVmKey(id),
         .value = Platform::encodeEntryVm(record),
--- a/Libraries/LibLog/Event.h
+++ b/Libraries/LibLog/Event.h
@@ -31,7 +31,7 @@
 }
 
 /// One kind of log line. Numbers and names never change their meaning: balancerd 1000-1999, proberd 2000-2499, the
-/// control library 3000-3999, operatord 4000-4999, frame of all programs 9000-9099.
+/// control library 3000-3999, operatord 4000-4999, entryd 5000-5999, frame of all programs 9000-9099.
 struct Event {
     uint32_t number { 0 };
     /// snake_case.
@@ -39,6 +39,8 @@
     Level level { Level::Info };
     /// One line for the catalogue.
     std::string_view meaning;
+    /// Most lines a second; further ones are counted and left out. 0: no limit of its own.
+    uint32_t linesPerSecond { 0 };
 };
 
 }
--- a/Libraries/LibLog/Fields.cpp
+++ b/Libraries/LibLog/Fields.cpp
@@ -1,44 +1,35 @@
 #include <LibLog/Fields.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace Log {
 
 namespace {
 
-    bool needsQuotes(std::string_view value)
+    bool isPlain(std::string_view value)
     {
-        if (value.empty())
-            return true;
-        return std::any_of(value.begin(), value.end(), [](unsigned char character) {
-            return character <= ' ' || character == '"' || character == '\\' || character == 0x7F;
+        return std::ranges::all_of(value, [](unsigned char character) {
+            return character >= ' ' && character < 0x7F && character != '"' && character != '\\';
         });
     }
 
-    void appendQuoted(std::string& text, std::string_view value)
-    {
-        text += '"';
-        for (const char character : value) {
-            const auto code = static_cast<unsigned char>(character);
-            if (character == '"' || character == '\\')
-                text += '\\';
-            text += code < ' ' || code == 0x7F ? '?' : character;
-        }
-        text += '"';
-    }
-
 }
 
-Fields& Fields::add(std::string_view name, std::string_view value)
+Fields& Fields::addRaw(std::string_view name, std::string_view json)
 {
     if (!text_.empty())
-        text_ += ' ';
-    text_.append(name).append("=");
-    if (needsQuotes(value))
-        appendQuoted(text_, value);
-    else
-        text_.append(value);
+        text_ += ',';
+    text_.append("\"").append(name).append("\":").append(json);
     return *this;
 }
 
+Fields& Fields::add(std::string_view name, std::string_view value)
+{
+    if (isPlain(value))
+        return addRaw(name, std::string("\"").append(value).append("\""));
+    using Json = nlohmann::json;
+    return addRaw(name, Json(std::string(value)).dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
 }
--- a/Libraries/LibLog/Fields.h
+++ b/Libraries/LibLog/Fields.h
@@ -6,23 +6,25 @@
 
 namespace Log {
 
-/// Builds the "name=value name=value" part of an event. Text with spaces, quotes or control characters is quoted, so
-/// that a line can always be taken apart again.
+/// Builds the fields of an event as members of a JSON object: "name":value,"name":value. Bytes that are no UTF-8 are
+/// replaced, so that every line can be read again.
 class Fields {
 public:
     Fields& add(std::string_view name, std::string_view value);
     Fields& add(std::string_view name, const char* value) { return add(name, std::string_view(value)); }
-    Fields& add(std::string_view name, bool value) { return add(name, std::string_view(value ? "true" : "false")); }
+    Fields& add(std::string_view name, bool value) { return addRaw(name, value ? "true" : "false"); }
     template <std::integral Integer>
     Fields& add(std::string_view name, Integer value)
     {
-        return add(name, std::string_view(std::to_string(value)));
+        return addRaw(name, std::to_string(value));
     }
 
     /// The fields so far.
     const std::string& text() const { return text_; }
 
 private:
+    Fields& addRaw(std::string_view name, std::string_view json);
+
     std::string text_;
 };
 
--- a/Libraries/LibProgram/Program.cpp
+++ b/Libraries/LibProgram/Program.cpp
@@ -7,11 +7,14 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
+#include <unistd.h>
 
 namespace Program {
 
 namespace {
 
+    constexpr Base::milliseconds flushTime { 500 };
+
     cxxopts::Options commandLine(const Options& options)
     {
         cxxopts::Options arguments(options.name, options.summary);
@@ -31,10 +34,20 @@
         return Usage;
     }
 
-    int runDaemon(const Options& options)
+    void reload(const Options& options, const std::string& file)
+    {
+        if (const auto error = Base::captureError([&] { return options.reload(file); }))
+            Log::write(Log::ProgramEvents::reloadFailed, Log::Fields().add("error", error->detail));
+    }
+
+    int runDaemon(const Options& options, const std::string& file)
     {
         Log::initialize(options.name);
+        // Before the printing thread, which must not take the signals.
         Signals signals;
+        Log::startPrinting();
+        if (options.reload)
+            signals.setReload([&] { reload(options, file); });
         Log::write(Log::ProgramEvents::started, Log::Fields().add("version", options.version));
         const auto exitCode = Base::capture([&] { return options.run(signals); });
         if (!exitCode.isOk()) {
@@ -68,7 +81,11 @@
             std::printf("%s: valid\n", file.c_str());
             return Success;
         }
-        return runDaemon(options);
+        const int exitCode = runDaemon(options, file);
+        // A reader that has stopped reading must not keep the process from ending.
+        if (!Log::flush(flushTime))
+            ::_exit(exitCode);
+        return exitCode;
     }
 
     int runChecked(int argc, char** argv, const Options& options)
--- a/Libraries/LibProgram/Program.h
+++ b/Libraries/LibProgram/Program.h
@@ -35,6 +35,9 @@
     std::function<void(Settings::Schema&)> declareSettings;
     /// Checks that need more than one key; "key.path: expected ..." as the error's detail. May be empty.
     std::function<Base::ErrorOr<void>()> checkSettings;
+    /// Reads the settings file again and applies what may change while the program runs. Empty: SIGHUP turns debug
+    /// events on or off instead.
+    std::function<Base::ErrorOr<void>(const std::string& file)> reload {};
     /// Runs until a stop is asked for; the process's exit code, or why it could not start.
     std::function<Base::ErrorOr<int>(Signals&)> run;
 };
--- a/Libraries/LibProgram/Signals.cpp
+++ b/Libraries/LibProgram/Signals.cpp
@@ -41,7 +41,9 @@
     const auto whole = std::chrono::duration_cast<Base::seconds>(atMost);
     const timespec timeout { .tv_sec = whole.count(), .tv_nsec = Base::nanoseconds(atMost - whole).count() };
     const int signal = sigtimedwait(&signals, nullptr, &timeout);
-    if (signal == SIGHUP)
+    if (signal == SIGHUP && reload_)
+        reload_();
+    else if (signal == SIGHUP)
         toggleDebug();
     if ((signal == SIGTERM || signal == SIGINT) && !stopRequested_) {
         stopRequested_ = true;
--- a/Libraries/LibSteering/Connection/FlowTable.cpp
+++ b/Libraries/LibSteering/Connection/FlowTable.cpp
@@ -30,7 +30,7 @@
 
 void FlowTable::erase(const Packet::FlowKey& flow) { records_.erase(flow); }
 
-void FlowTable::check(Base::TimePoint now, const std::function<bool(FlowRecord&)>& keep)
+void FlowTable::check(Base::TimePoint now, const std::function<bool(const Packet::FlowKey&, FlowRecord&)>& keep)
 {
     while (!checks_.empty() && checks_.front().dueAt <= now) {
         const auto flow = checks_.front().flow;
@@ -38,7 +38,7 @@
         const auto found = records_.find(flow);
         if (found == records_.end())
             continue;
-        if (keep(found->second))
+        if (keep(flow, found->second))
             checks_.push_back({ .flow = flow, .dueAt = now + options_.checkInterval });
         else
             records_.erase(found);
--- a/Libraries/LibSteering/Connection/FlowTable.h
+++ b/Libraries/LibSteering/Connection/FlowTable.h
@@ -58,7 +58,7 @@
     FlowRecord* add(Base::TimePoint now, const Packet::FlowKey&);
     void erase(const Packet::FlowKey&);
     /// Calls the function for each record whose check is due; false erases the record.
-    void check(Base::TimePoint now, const std::function<bool(FlowRecord&)>& keep);
+    void check(Base::TimePoint now, const std::function<bool(const Packet::FlowKey&, FlowRecord&)>& keep);
     std::size_t size() const { return records_.size(); }
 
 private:
--- a/Libraries/LibSteering/FlowToken.h
+++ b/Libraries/LibSteering/FlowToken.h
@@ -4,9 +4,12 @@
 /// backend server the flow was opened at, so that any balancer forwards any packet with one table lookup.
 
 #include <LibBase/Hash.h>
+#include <array>
 #include <compare>
 #include <cstdint>
+#include <cstdio>
 #include <functional>
+#include <string>
 
 namespace Steering {
 
@@ -15,6 +18,14 @@
     uint64_t value { 0 };
 
     auto operator<=>(const BackendServerNumber&) const = default;
+
+    /// Lower-case hex digits, as in the server's id.
+    std::string toString() const
+    {
+        std::array<char, 17> text {};
+        std::snprintf(text.data(), text.size(), "%llx", static_cast<unsigned long long>(value));
+        return text.data();
+    }
 };
 
 /// What a packet carries to name its backend server. Zero: the packet carries none.
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -341,6 +341,9 @@
     readiness_.noteAnswered();
     ++statistics_.opened;
     const auto sample = std::chrono::duration_cast<Base::microseconds>(now - record.firstSeen);
+    const auto bucket = std::ranges::lower_bound(handshakeBounds, sample) - handshakeBounds.begin();
+    ++statistics_.handshakes[static_cast<std::size_t>(bucket)];
+    statistics_.handshakeSum += sample;
     if (record.offerCount == 1)
         handshakeTime_ += (sample - handshakeTime_) / smoothing;
     else
@@ -409,11 +412,14 @@
     return Reoffer { .bytes = pending.bytes, .verdict = verdict };
 }
 
-bool SteeringDecider::keepRecord(Base::TimePoint now, FlowRecord& record)
+bool SteeringDecider::keepRecord(Base::TimePoint now, const Packet::FlowKey& flow, FlowRecord& record)
 {
     const auto quietFor = now - record.lastSeen;
     if (record.state == FlowState::Opening && quietFor >= openingTime) {
         ++statistics_.neverOpened;
+        if (record.offerCount > 0)
+            record.server = record.offers[record.offerCount - 1];
+        report(FlowDecision::Kind::NeverOpened, flow, record, now, nullptr);
         release(record);
         return false;
     }
@@ -439,7 +445,7 @@
     if (now < nextExpiry_)
         return reoffers;
     nextExpiry_ = now + expiryInterval;
-    flows_.check(now, [&](FlowRecord& record) { return keepRecord(now, record); });
+    flows_.check(now, [&](const Packet::FlowKey& flow, FlowRecord& record) { return keepRecord(now, flow, record); });
     servers_.expire(now);
     peerLoads_.expire(now);
     allowance_.expire(now);
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -19,6 +19,11 @@
 
 namespace Steering {
 
+/// Upper bounds of the buckets of handshake times.
+inline constexpr std::array<Base::milliseconds, 8> handshakeBounds { Base::milliseconds(5), Base::milliseconds(10),
+    Base::milliseconds(20), Base::milliseconds(40), Base::milliseconds(80), Base::milliseconds(200),
+    Base::milliseconds(600), Base::milliseconds(1400) };
+
 /// Totals since the start.
 struct SteeringStatistics {
     uint64_t forwarded { 0 };
@@ -32,6 +37,9 @@
     uint64_t neverOpened { 0 };
     uint64_t unanswered { 0 };
     uint64_t resets { 0 };
+    /// First packets to completed handshakes, for flows that were offered once; the last bucket is open.
+    std::array<uint64_t, handshakeBounds.size() + 1> handshakes {};
+    Base::microseconds handshakeSum { 0 };
     uint64_t untracked { 0 };
     std::array<uint64_t, refusalCount> refused {};
     std::array<uint64_t, 3> chosen {};
@@ -149,7 +157,7 @@
     void noteSilence(Base::TimePoint now, const FlowRecord&);
     std::optional<Reoffer> reoffer(Base::TimePoint now, const PendingOffer&);
     void release(FlowRecord&);
-    bool keepRecord(Base::TimePoint now, FlowRecord&);
+    bool keepRecord(Base::TimePoint now, const Packet::FlowKey&, FlowRecord&);
     void report(FlowDecision::Kind, const Packet::FlowKey&, const FlowRecord&, Base::TimePoint now, const Choice*);
 
     Options options_;
--- a/Meta/reference.sh
+++ b/Meta/reference.sh
@@ -17,7 +17,7 @@
 
 This page is made by `Meta/reference.sh BUILD settings`.
 TEXT
-    for program in balancerd proberd operatord; do
+    for program in balancerd proberd operatord entryd; do
         printf '\n## %s\n\n' "$program"
         "$BIN/$program" --settings-reference
     done
@@ -27,8 +27,10 @@
     cat <<'TEXT'
 # Log events
 
-Daemons log to standard error only, one event a line: date, program, level, `EH<number> <name>`, then `name=value` fields.
-Numbers and names never change their meaning. Debug events are written after SIGHUP, until the next one.
+Daemons log to standard output only, one JSON object a line: `time`, `program`, `level`, `event` (the number), `name`,
+then the event's own fields. Numbers and names never change their meaning. Debug events are written after SIGHUP, until
+the next one; entryd reads its settings again instead (`log.debug`). Lines beyond an event's limit a second, and lines
+that standard output does not take in time, are left out and counted (EH9007).
 
 This page is made by `Meta/reference.sh BUILD events`.
 
@@ -36,7 +38,7 @@
 
 TEXT
     "$BIN/balancerd" --frame-events-reference
-    for program in balancerd proberd operatord; do
+    for program in balancerd proberd operatord entryd; do
         printf '\n## %s\n\n' "$program"
         "$BIN/$program" --events-reference
     done
--- a/Services/EntryVm/Main.cpp
+++ b/Services/EntryVm/Main.cpp
@@ -8,6 +8,7 @@
 int main(int argc, char** argv)
 {
     Entry::EntrySettings settings;
+    std::unique_ptr<Entry::EntryDaemon> daemon;
     return Program::runMain(argc, argv,
         { .name = "entryd",
             .version = EELGRASSHATCH_VERSION,
@@ -19,8 +20,10 @@
                 TRY(Entry::regionsOf(settings));
                 return {};
             },
+            .reload = [&](const std::string& file) { return daemon->reload(file); },
             .run = [&](Program::Signals& signals) -> Base::ErrorOr<int> {
-                TRY_ASSIGN(daemon, Entry::EntryDaemon::create(settings));
+                TRY_ASSIGN(created, Entry::EntryDaemon::create(settings));
+                daemon = std::move(created);
                 return daemon->run(signals);
             } });
 }
--- a/Tests/LibLog/TestLog.cpp
+++ b/Tests/LibLog/TestLog.cpp
@@ -1,16 +1,64 @@
+#include <LibLog/LineLimit.h>
+#include <LibLog/LineQueue.h>
 #include <LibLog/Log.h>
 #include <LibLog/ProgramEvents.h>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
-TEST_CASE("an event's text starts with its number and name")
+TEST_CASE("an event's text starts with its level, number and name")
 {
-    CHECK(Log::format(Log::ProgramEvents::started, "version=1") == "EH9000 program_started version=1");
-    CHECK(Log::format(Log::ProgramEvents::stopping, "") == "EH9001 program_stopping");
+    CHECK(Log::format(Log::ProgramEvents::started, Log::Fields().add("version", 1))
+        == R"("level":"info","event":9000,"name":"program_started","version":1)");
+    CHECK(Log::format(Log::ProgramEvents::stopping, {}) == R"("level":"info","event":9001,"name":"program_stopping")");
 }
 
-TEST_CASE("field values that would break a line apart are quoted")
+TEST_CASE("field values of any bytes make a line that can be read again")
 {
     Log::Fields fields;
-    fields.add("count", 3).add("name", "brum").add("text", "a \"b\"\n").add("empty", "").add("ok", true);
-    CHECK(fields.text() == "count=3 name=brum text=\"a \\\"b\\\"?\" empty=\"\" ok=true");
+    fields.add("count", 3).add("name", "brum").add("text", "a \"b\"\n\\").add("empty", "").add("ok", true);
+    fields.add("bytes", std::string_view("\xff\x00\x01", 3)).add("negative", -5);
+    const auto line = nlohmann::json::parse("{" + fields.text() + "}");
+    CHECK(line["count"] == 3);
+    CHECK(line["name"] == "brum");
+    CHECK(line["text"] == "a \"b\"\n\\");
+    CHECK(line["empty"] == "");
+    CHECK(line["ok"] == true);
+    CHECK(line["bytes"].is_string());
+    CHECK(line["negative"] == -5);
+    CHECK(fields.text().find('\n') == std::string::npos);
+}
+
+TEST_CASE("a full queue takes no more lines, never waits, and tells how many it lost")
+{
+    Log::LineQueue queue(3);
+    for (int line = 0; line < 10; ++line)
+        CHECK(queue.push("line") == (line < 3));
+    CHECK(queue.takeDropped() == 7);
+    CHECK(queue.takeDropped() == 0);
+    CHECK_FALSE(queue.waitUntilPrinted(Base::milliseconds(1)));
+    CHECK(queue.takeAll(Base::milliseconds(0)).size() == 3);
+    CHECK_FALSE(queue.waitUntilPrinted(Base::milliseconds(1)));
+    queue.finishPrinting();
+    CHECK(queue.waitUntilPrinted(Base::milliseconds(1)));
+    CHECK(queue.push("line"));
+}
+
+TEST_CASE("an event writes no more lines a second than its limit, at any load")
+{
+    constexpr Log::Event limited { 1, "limited", Log::Level::Info, "", 20 };
+    constexpr Log::Event unlimited { 2, "unlimited", Log::Level::Info, "" };
+    Log::LineLimit limit;
+    Base::TimePoint now {};
+    for (const int load : { 50, 500 }) {
+        now += Base::seconds(10);
+        int admitted = 0;
+        for (int line = 0; line < 5 * load; ++line) {
+            now += Base::nanoseconds(Base::seconds(1)) / load;
+            admitted += limit.admit(now, limited) ? 1 : 0;
+            CHECK(limit.admit(now, unlimited));
+        }
+        CHECK(admitted <= 6 * 20);
+        CHECK(admitted >= 4 * 20);
+        CHECK(limit.takeSuppressed().at(1) == static_cast<uint64_t>(5 * load - admitted));
+    }
 }
