StandIns: Soak entry VMs as processes in a played deployment

A played store, fabric, callers and backend servers with an own packet codec; loopback proxies between entry VMs; faults by signals, proxies and the store's front; the promises checked from outside.

--- /dev/null
+++ b/Meta/soak.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Runs the fault soak over a range of seeds, some beside each other. Exit code 1 when a promise was broken.
+# usage: soak.sh BUILD_DIRECTORY [--seed FIRST] [--seeds COUNT] [--minutes M] [--jobs J] [--seconds S] [SOAK ARGUMENTS]
+set -euo pipefail
+
+BIN="$1/bin"
+shift
+FIRST="" COUNT=1 MINUTES=0 JOBS=1 SECONDS_WITH_FAULTS=12
+REST=()
+while [ $# -gt 0 ]; do
+    case "$1" in
+        --seed) FIRST="$2"; shift 2 ;;
+        --seeds) COUNT="$2"; shift 2 ;;
+        --minutes) MINUTES="$2"; shift 2 ;;
+        --jobs) JOBS="$2"; shift 2 ;;
+        --seconds) SECONDS_WITH_FAULTS="$2"; shift 2 ;;
+        *) REST+=("$1"); shift ;;
+    esac
+done
+# Without a seed: fresh ones.
+FIRST="${FIRST:-$((RANDOM * 32768 + RANDOM))}"
+# A run takes its time with faults and about 17 s around it.
+[ "$MINUTES" -eq 0 ] || COUNT=$((JOBS * (MINUTES * 60 / (SECONDS_WITH_FAULTS + 17) + 1)))
+
+seq "$FIRST" $((FIRST + COUNT - 1)) | xargs -P "$JOBS" -I SEED \
+    "$BIN/eelgrasshatch-soak" --entryd "$BIN/entryd" --seconds "$SECONDS_WITH_FAULTS" --seed SEED "${REST[@]}"
--- a/StandIns/Common/EventLoop.cpp
+++ b/StandIns/Common/EventLoop.cpp
@@ -22,6 +22,13 @@
 void EventLoop::watch(int descriptor, std::function<void()> onReadable)
 {
     watches_[descriptor] = std::move(onReadable);
+    watchesChanged_ = true;
+}
+
+void EventLoop::unwatch(int descriptor)
+{
+    watches_.erase(descriptor);
+    watchesChanged_ = true;
 }
 
 void EventLoop::after(Base::nanoseconds delay, std::function<void()> callback)
@@ -57,14 +64,25 @@
 void EventLoop::run()
 {
     std::vector<pollfd> descriptors;
-    for (const auto& [descriptor, callback] : watches_)
-        descriptors.push_back({ .fd = descriptor, .events = POLLIN, .revents = 0 });
+    watchesChanged_ = true;
     while (!stopped_ && signalled == 0) {
+        if (watchesChanged_) {
+            watchesChanged_ = false;
+            descriptors.clear();
+            for (const auto& [descriptor, callback] : watches_)
+                descriptors.push_back({ .fd = descriptor, .events = POLLIN, .revents = 0 });
+        }
         ::poll(descriptors.data(), descriptors.size(), pollTimeoutMilliseconds());
         now_ = std::chrono::steady_clock::now();
         for (const auto& entry : descriptors) {
-            if ((entry.revents & POLLIN) != 0)
-                watches_.at(entry.fd)();
+            if ((entry.revents & (POLLIN | POLLHUP | POLLERR)) == 0)
+                continue;
+            // A callback may end other watches, and its own.
+            const auto found = watches_.find(entry.fd);
+            if (found == watches_.end())
+                continue;
+            const auto callback = found->second;
+            callback();
         }
         runDueTimers();
     }
--- a/StandIns/Common/EventLoop.h
+++ b/StandIns/Common/EventLoop.h
@@ -16,6 +16,8 @@
 
     /// Calls the function whenever the descriptor is readable.
     void watch(int descriptor, std::function<void()> onReadable);
+    /// Ends a watch; call it before the descriptor is closed.
+    void unwatch(int descriptor);
     /// Calls the function once, after the delay.
     void after(Base::nanoseconds delay, std::function<void()> callback);
     /// Calls the function again and again until the loop ends.
@@ -39,6 +41,7 @@
     int pollTimeoutMilliseconds() const;
 
     std::map<int, std::function<void()>> watches_;
+    bool watchesChanged_ { false };
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
     Base::TimePoint now_;
     uint64_t nextOrder_ { 0 };
--- /dev/null
+++ b/StandIns/Soak/Main.cpp
@@ -0,0 +1,89 @@
+// eelgrasshatch-soak: runs entry VMs as processes in a small played deployment, disturbs them from outside, and checks
+// the promises from what callers and backend servers see. Exit code 1: a promise was broken.
+
+#include "Faults.h"
+
+#include <Common/ProgramOptions.h>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+
+namespace {
+
+using Base::milliseconds;
+
+/// From the start of the processes to the first fault.
+constexpr milliseconds quietBegin { 2500 };
+/// From the last fault to the end of the run; the promises' time of contact and a while to show that all is well.
+constexpr milliseconds quietEnd { 9000 };
+constexpr milliseconds longestFinish { 5000 };
+
+int report(StandIn::Deployment& deployment, const StandIn::Faults& faults, uint64_t seed, const std::string& folder)
+{
+    const auto& ledger = deployment.ledger();
+    uint64_t calls = 0;
+    for (const auto& entryVm : deployment.entryVms())
+        calls += entryVm.store->calls();
+    std::printf("seed %llu: %llu served, %llu failed, %llu store calls, %zu faults\n",
+        static_cast<unsigned long long>(seed), static_cast<unsigned long long>(ledger.servedCount()),
+        static_cast<unsigned long long>(ledger.failedCount()), static_cast<unsigned long long>(calls),
+        faults.schedule().size());
+    const bool isGood = ledger.violations().empty() && deployment.unexpectedEnds().empty() && ledger.servedCount() > 0;
+    if (isGood)
+        return 0;
+    for (const auto& fault : faults.schedule())
+        std::printf("  fault at %s\n", fault.c_str());
+    for (const auto& violation : ledger.violations())
+        std::printf("  BROKEN %s\n", violation.c_str());
+    for (const auto& end : deployment.unexpectedEnds())
+        std::printf("  BROKEN %s\n", end.c_str());
+    std::printf("  logs are kept in %s\n", folder.c_str());
+    return 1;
+}
+
+int soak(const cxxopts::ParseResult& arguments)
+{
+    const auto seed = arguments["seed"].as<uint64_t>();
+    const auto faultTime = milliseconds(1000 * arguments["seconds"].as<uint64_t>());
+    std::string folder = (std::filesystem::temp_directory_path() / "eelgrasshatch-soak-XXXXXX").string();
+    if (::mkdtemp(folder.data()) == nullptr) {
+        std::fprintf(stderr, "eelgrasshatch-soak: no folder for logs\n");
+        return 2;
+    }
+    int code = 0;
+    {
+        StandIn::EventLoop loop;
+        StandIn::Deployment deployment(loop,
+            { .program = arguments["entryd"].as<std::string>(),
+                .folder = folder,
+                .seed = seed,
+                .entryVmsPerZone = arguments["entry-vms"].as<std::size_t>(),
+                .serversPerZone = arguments["servers"].as<std::size_t>(),
+                .requestsPerSecond = arguments["rate"].as<double>() });
+        // Callers come while the processes start.
+        deployment.ledger().disturbEverything(loop.now());
+        StandIn::Faults faults(deployment);
+        faults.plan(quietBegin, quietBegin + faultTime);
+        loop.after(quietBegin + faultTime + quietEnd, [&] { deployment.finishCallers(); });
+        loop.after(quietBegin + faultTime + quietEnd + longestFinish, [&] { loop.stop(); });
+        loop.run();
+        code = report(deployment, faults, seed, folder);
+    }
+    if (code == 0)
+        std::filesystem::remove_all(folder);
+    return code;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("eelgrasshatch-soak", "Disturbs entry VMs that run as processes and checks the promises.");
+    options.add_options()("seed", "what happens, and when", cxxopts::value<uint64_t>()->default_value("1"));
+    options.add_options()("seconds", "time with faults", cxxopts::value<uint64_t>()->default_value("15"));
+    options.add_options()("entryd", "path of the program", cxxopts::value<std::string>());
+    options.add_options()("entry-vms", "in each failure domain", cxxopts::value<std::size_t>()->default_value("2"));
+    options.add_options()("servers", "in each failure domain", cxxopts::value<std::size_t>()->default_value("5"));
+    options.add_options()("rate", "requests a second of each caller", cxxopts::value<double>()->default_value("40"));
+    return StandIn::runProgram(argc, argv, std::move(options), soak);
+}
