LibMirror, LibEntry: Bring a large configuration to all entry VMs through narrow links

A configuration of 1,445 routes (about 300 kB) was fetched by up to 24 entry VMs from the one that heard of it first, through 10 Mbit/s links, and each attempt was given up after 500 ms and begun anew; the last entry VM had it in force 7.7 s after it was accepted. Seen beside it: entry VMs that were busy or slow took unread answers for silence and called themselves isolated.

Ruled out: the store's answers (the watchers had it within 0.2 s), decoding (20 ms of processor time).

Change: answers are compressed and the last one is kept; receiving bytes extends the time for an answer; of equally new peers any near one is asked; the widest link of a domain follows the store; silence counts only for time in which packets were read.

Tests: size of an encoded configuration, inattention, rank by link.

--- a/Libraries/LibEntry/CatchUpThread.cpp
+++ b/Libraries/LibEntry/CatchUpThread.cpp
@@ -8,8 +8,11 @@
 
 namespace {
 
-    /// The store itself usually tells within some milliseconds; asking a peer costs more bytes.
-    constexpr Base::milliseconds graceForStore { 200 };
+    /// The store itself tells within a quarter of a second, the time that calls are gathered for, and asking a peer of
+    /// another failure domain costs bytes between domains.
+    constexpr Base::milliseconds graceForStore { 600 };
+    /// An answer of the store to the first call takes some milliseconds.
+    constexpr Base::milliseconds graceAtStart { 150 };
     constexpr Base::milliseconds answerTimeout { 500 };
     constexpr Base::milliseconds pauseWhileEmpty { 250 };
     constexpr Base::milliseconds pauseWhenCurrent { 5000 };
@@ -21,6 +24,7 @@
 CatchUpThread::CatchUpThread(const EntrySettings& settings, BeliefFeed& feed)
     : settings_(settings)
     , feed_(feed)
+    , random_(Base::hashText(settings.name))
     , seeds_(settings.control.seeds)
 {
 }
@@ -42,11 +46,19 @@
         return;
     {
         const std::scoped_lock lock(mutex_);
-        if (revision <= newestRevision_)
+        if (revision < newestRevision_)
+            return;
+        // Of equally new peers any, so that not all of a failure domain ask the first that heard. Near ones go first.
+        const bool isBetter = revision > newestRevision_ || (isUrgent && !isUrgent_);
+        newestCount_ = isBetter ? 1 : newestCount_ + 1;
+        const bool isChosen = isBetter || (isUrgent == isUrgent_ && random_.below(newestCount_) == 0);
+        if (isChosen) {
+            newestPeer_ = peer;
+            isUrgent_ = isUrgent;
+        }
+        if (!isBetter)
             return;
         newestRevision_ = revision;
-        newestPeer_ = peer;
-        isUrgent_ = isUrgent;
     }
     worker_.wake();
 }
@@ -66,7 +78,7 @@
 
 void CatchUpThread::run()
 {
-    worker_.pause(graceForStore);
+    worker_.pause(graceAtStart);
     while (!worker_.isStopping()) {
         const auto candidate = nextPeer();
         if (!candidate.peer.isValid()) {
@@ -96,7 +108,8 @@
             Peer::QueryClient::create({ .endpoint = peer.endpoint(),
                 .keys = settings_.control.keys,
                 .timeout = answerTimeout,
-                .maximumFrameBytes = maximumAnswerBytes }));
+                .maximumFrameBytes = maximumAnswerBytes,
+                .waitsWhileReceiving = true }));
         client_.emplace(std::move(client));
         clientPeer_ = peer;
     }
--- a/Libraries/LibEntry/CatchUpThread.h
+++ b/Libraries/LibEntry/CatchUpThread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/Random.h>
 #include <LibEntry/BeliefFeed.h>
 #include <LibEntry/EntrySettings.h>
 #include <LibEntry/Worker.h>
@@ -20,8 +21,8 @@
 
     /// Whom to ask while nothing is known. Any thread.
     void setSeeds(std::vector<Base::Ipv4Endpoint>);
-    /// A peer holds records up to a revision. urgent: this entry VM does not follow the store itself, so that there is
-    /// nothing to wait for. Any thread.
+    /// A peer holds records up to a revision. isUrgent: neither the store nor a nearer peer will tell them, so that
+    /// there is nothing to wait for. Any thread.
     void notePeer(Base::EntryVmId, uint64_t revision, bool isUrgent);
 
 private:
@@ -45,6 +46,9 @@
     Base::EntryVmId newestPeer_;
     uint64_t newestRevision_ { 0 };
     bool isUrgent_ { false };
+    /// Peers heard of that hold the newest revision.
+    uint64_t newestCount_ { 0 };
+    Base::Random random_;
     std::vector<Base::Ipv4Endpoint> seeds_;
     std::size_t nextSeed_ { 0 };
     /// The connection to the peer that was asked last.
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -71,6 +71,9 @@
         { .documentation
             = "Most flows whose progress is followed; further ones are forwarded, but not counted as work.",
             .unit = "flows" });
+    schema.addReal("limits.link_megabits", settings.limits.linkMegabits, { .maximum = 1'000'000 },
+        { .documentation = "Capacity of this entry VM's link; the widest links of a failure domain follow the store.",
+            .unit = "Mbit/s" });
     schema.addMilliseconds("limits.flow_lifetime_ms", settings.limits.flowLifetime,
         { .minimum = 1000, .maximum = 86'400'000 },
         { .documentation = "How long packets still reach a backend server whose entry is gone." });
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -44,6 +44,7 @@
     struct Limits {
         std::size_t maximumFlows { 200'000 };
         Base::milliseconds flowLifetime { 60'000 };
+        double linkMegabits { 0 };
     } limits;
 
     struct WarmUp {
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -29,6 +29,8 @@
     /// Keeps the reports that an entry VM sends at about a hundred a second however many peers there are.
     constexpr Base::milliseconds timeForEachPeer { 10 };
     constexpr Base::milliseconds publishInterval { 1000 };
+    /// A round of the thread that takes longer has left packets waiting for a noticeable part of a handshake.
+    constexpr Base::milliseconds longestRound { 5 };
     /// The longest time the thread sleeps without a timer of its own.
     constexpr Base::milliseconds longestSleep { 100 };
     /// A loop that takes longer was not only busy: the process did not run.
@@ -87,6 +89,7 @@
     , decider_(options)
     , watcherChoice_({ .self = options.self,
           .failureDomain = options.failureDomain,
+          .linkMegabits = static_cast<uint64_t>(settings.limits.linkMegabits),
           .watchersPerDomain = settings.store.watchersPerDomain })
     , buffers_(std::make_unique<Buffers>())
     , reportSequence_(startSequence())
@@ -129,7 +132,10 @@
     startedAt_ = std::chrono::steady_clock::now();
     while (!worker_.isStopping()) {
         const Base::TimePoint now = std::chrono::steady_clock::now();
-        notePause(now);
+        if (now - attentiveUntil_ > longestRound && attentiveUntil_ != Base::TimePoint {})
+            decider_.noteInattention(now - attentiveUntil_);
+        attentiveUntil_ = now;
+        notePause();
         takeBeliefs(now);
         // Right after the start, packets wait in the socket for the first configuration.
         const bool mayDecide = decider_.isComplete() || now - startedAt_ > longestWait;
@@ -145,8 +151,12 @@
     }
 }
 
-void PacketThread::notePause(Base::TimePoint now)
+void PacketThread::notePause()
 {
+    // The steady clock stands still while a machine is suspended.
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    const Base::TimePoint now { Base::seconds(time.tv_sec) + Base::nanoseconds(time.tv_nsec) };
     const auto gap = now - lastLoop_;
     if (lastLoop_ != Base::TimePoint {} && gap > pauseThreshold) {
         Log::write(Events::processPaused,
@@ -248,11 +258,18 @@
             ++figures_.reportsIgnored;
             continue;
         }
-        catchUp_.notePeer(
-            report.value->sender, report.value->revision, store_.view() == Steering::StoreView::NotWatching);
+        noteRevision(*report.value);
     }
 }
 
+void PacketThread::noteRevision(const Steering::LoadReport& report)
+{
+    const auto peer = decider_.peers().find(report.sender);
+    const bool isNear = peer != decider_.peers().end() && peer->second.failureDomain == settings_.failureDomain;
+    const bool isFollowing = store_.view() != Steering::StoreView::NotWatching;
+    catchUp_.notePeer(report.sender, report.revision, isNear && !isFollowing);
+}
+
 void PacketThread::sendReoffers(Base::TimePoint now)
 {
     auto reoffers = decider_.handleTimers(now);
@@ -347,6 +364,8 @@
     const auto left = std::chrono::ceil<Base::milliseconds>(due - now);
     const auto atMost = std::clamp(left, Base::milliseconds(1), longestSleep);
     const bool isWaiting = !decider_.isComplete() && now - startedAt_ <= longestWait;
+    // Waking later than asked for is inattention as well.
+    attentiveUntil_ = now + atMost;
     wakeup_.sleep({ isWaiting ? -1 : dataSocket_, reportSocket_ }, atMost,
         [this] { return feed_.isEmpty() && !worker_.isStopping() && leaving_.load() == isStopApplied_; });
 }
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -73,12 +73,15 @@
     bool takePackets(Base::TimePoint now);
     void decidePacket(Base::TimePoint now, std::span<std::byte> buffer);
     void takeReports(Base::TimePoint now);
+    /// Lets records be fetched from a peer that holds newer ones.
+    void noteRevision(const Steering::LoadReport&);
     void sendReoffers(Base::TimePoint now);
     /// Decides who follows the store, and what this means for what is known of it.
     void chooseWatcher(Base::TimePoint now);
     void sendReports(Base::TimePoint now);
     void sleepUntilNextTimer(Base::TimePoint now);
-    void notePause(Base::TimePoint now);
+    /// Logs that the process did not run for a while.
+    void notePause();
     void publish(Base::TimePoint now);
     void transmit();
 
@@ -104,8 +107,11 @@
     Base::TimePoint nextNearReport_ {};
     Base::TimePoint nextFarReport_ {};
     Base::TimePoint nextPublish_ {};
+    /// On the clock that goes on while the machine is suspended.
     Base::TimePoint lastLoop_ {};
     Base::TimePoint startedAt_ {};
+    /// Until when packets were read as they came: the round's begin, or the end of the planned sleep.
+    Base::TimePoint attentiveUntil_ {};
     mutable std::mutex figuresMutex_;
     PacketFigures figures_;
     PacketFigures published_;
--- a/Libraries/LibEntry/RegistrationThread.cpp
+++ b/Libraries/LibEntry/RegistrationThread.cpp
@@ -50,9 +50,10 @@
         return false;
     }
     const auto id = settings_.identity();
-    const Platform::EntryVmRecord record {
-        .id = id, .failureDomain = settings_.failureDomain, .reports = settings_.reportsForPeers()
-    };
+    const Platform::EntryVmRecord record { .id = id,
+        .failureDomain = settings_.failureDomain,
+        .reports = settings_.reportsForPeers(),
+        .linkMegabits = static_cast<uint64_t>(settings_.limits.linkMegabits) };
     const auto put = client_.put({ .key = Platform::entryVmKey(id),
         .value = Platform::encodeEntryVm(record),
         .lease = lease.value.id,
--- a/Libraries/LibEntry/RelayThread.cpp
+++ b/Libraries/LibEntry/RelayThread.cpp
@@ -36,13 +36,19 @@
     });
 }
 
-std::vector<std::byte> RelayThread::answer(std::span<const std::byte> question) const
+std::vector<std::byte> RelayThread::answer(std::span<const std::byte> question)
 {
     const auto asked = Base::capture([&] { return Mirror::decodeQuestion(question); });
     // An answer that decodes to nothing tells the asker to look elsewhere.
     if (!asked.isOk() || !feed_.isSynchronized())
         return {};
-    return Mirror::encodeBatch(feed_.changesAfter(asked.value->after, answerBytes));
+    const auto revision = feed_.revision();
+    if (lastAnswer_.empty() || answeredAfter_ != asked.value->after || answeredRevision_ != revision) {
+        lastAnswer_ = Mirror::encodeBatch(feed_.changesAfter(asked.value->after, answerBytes));
+        answeredAfter_ = asked.value->after;
+        answeredRevision_ = revision;
+    }
+    return lastAnswer_;
 }
 
 }
--- a/Libraries/LibEntry/RelayThread.h
+++ b/Libraries/LibEntry/RelayThread.h
@@ -23,10 +23,14 @@
     {
     }
 
-    std::vector<std::byte> answer(std::span<const std::byte> question) const;
+    std::vector<std::byte> answer(std::span<const std::byte> question);
 
     BeliefFeed& feed_;
     std::unique_ptr<Peer::PeerTransport> transport_;
+    /// The last answer: after a change, all peers ask the same.
+    uint64_t answeredAfter_ { 0 };
+    uint64_t answeredRevision_ { 0 };
+    std::vector<std::byte> lastAnswer_;
     Worker worker_;
 };
 
--- a/Libraries/LibMirror/RelayMessage.cpp
+++ b/Libraries/LibMirror/RelayMessage.cpp
@@ -1,5 +1,6 @@
 #include <LibMirror/RelayMessage.h>
 
+#include <LibMirror/Compression.h>
 #include <LibPeer/MsgpackReader.h>
 #include <nlohmann/json.hpp>
 
@@ -12,6 +13,8 @@
 
     constexpr std::size_t batchFields = 5;
     constexpr std::size_t recordFields = 4;
+    /// The whole state of 28,000 backend servers is about 10 MB.
+    constexpr std::size_t maximumBatchBytes = std::size_t { 64 } * 1024 * 1024;
 
     Base::ErrorOr<Record> decodeRecord(const Json& row)
     {
@@ -48,13 +51,14 @@
         auto bytes = Json::binary(std::vector<uint8_t>(record.value.begin(), record.value.end()));
         rows.push_back(Json::array({ record.key, record.revision, record.isDeletion, std::move(bytes) }));
     }
-    return Peer::writeMsgpack(
-        Json::array({ batch.after, batch.upTo, batch.isComplete, batch.hasMore, std::move(rows) }));
+    return compress(
+        Peer::writeMsgpack(Json::array({ batch.after, batch.upTo, batch.isComplete, batch.hasMore, std::move(rows) })));
 }
 
 Base::ErrorOr<ChangeBatch> decodeBatch(std::span<const std::byte> bytes)
 {
-    TRY_ASSIGN(value, Peer::readMsgpack(bytes));
+    TRY_ASSIGN(content, decompress(bytes, maximumBatchBytes));
+    TRY_ASSIGN(value, Peer::readMsgpack(content));
     const bool isBatch = value.is_array() && value.size() == batchFields && value[0].is_number_unsigned()
         && value[1].is_number_unsigned() && value[2].is_boolean() && value[3].is_boolean() && value[4].is_array();
     if (!isBatch)
--- a/Libraries/LibMirror/RelayMessage.h
+++ b/Libraries/LibMirror/RelayMessage.h
@@ -18,8 +18,9 @@
 /// Malformed.
 Base::ErrorOr<RelayQuestion> decodeQuestion(std::span<const std::byte>);
 
+/// Compressed where that pays.
 std::vector<std::byte> encodeBatch(const ChangeBatch&);
-/// Malformed, also for records out of the batch's range.
+/// Malformed, also for records out of the batch's range; TooLarge.
 Base::ErrorOr<ChangeBatch> decodeBatch(std::span<const std::byte>);
 
 }
--- a/Libraries/LibPeer/QueryClient.cpp
+++ b/Libraries/LibPeer/QueryClient.cpp
@@ -107,10 +107,13 @@
             return openFrame(*body, authenticator_);
         TRY(waitFor(socket_, POLLIN, deadline));
         const auto received = ::recv(socket_, buffer.data(), buffer.size(), 0);
-        if (received > 0)
+        if (received > 0) {
             reader.append(std::span(buffer).first(static_cast<std::size_t>(received)));
-        else if (received == 0 || (errno != EAGAIN && errno != EINTR))
+            if (options_.waitsWhileReceiving)
+                deadline = std::chrono::steady_clock::now() + options_.timeout;
+        } else if (received == 0 || (errno != EAGAIN && errno != EINTR)) {
             return Base::makeError(ErrorCode::Unavailable, "connection closed");
+        }
     }
 }
 
--- a/Libraries/LibPeer/QueryClient.h
+++ b/Libraries/LibPeer/QueryClient.h
@@ -17,6 +17,8 @@
         /// For connecting and for each answer.
         Base::milliseconds timeout { 1000 };
         std::size_t maximumFrameBytes { defaultMaximumFrameBytes };
+        /// Whether bytes that arrive begin the time for an answer anew, for large answers over narrow links.
+        bool waitsWhileReceiving { false };
     };
 
     /// InvalidArgument for keys that may not be used. Connects on the first question.
--- a/Libraries/LibSteering/Connection/FlowTable.h
+++ b/Libraries/LibSteering/Connection/FlowTable.h
@@ -36,6 +36,9 @@
     uint32_t openingAcknowledged { 0 };
     Base::TimePoint firstSeen {};
     Base::TimePoint lastSeen {};
+    /// When the last server was offered the flow, and the node's sum of inattention then.
+    Base::TimePoint offeredAt {};
+    Base::nanoseconds offeredInattention { 0 };
 
     bool wasOfferedTo(BackendServerNumber) const;
 };
--- a/Libraries/LibSteering/Events.h
+++ b/Libraries/LibSteering/Events.h
@@ -41,6 +41,8 @@
     std::string failureDomain;
     /// Where it takes load reports.
     Base::Ipv4Endpoint reports;
+    /// Capacity of its link, in Mbit/s.
+    uint64_t linkMegabits { 0 };
 };
 
 struct PeerUnlisted {
--- a/Libraries/LibSteering/Process/PeerLoads.cpp
+++ b/Libraries/LibSteering/Process/PeerLoads.cpp
@@ -9,11 +9,12 @@
 
 }
 
-void PeerLoads::list(Base::EntryVmId id, std::string failureDomain, Base::Ipv4Endpoint reports)
+void PeerLoads::list(const PeerListed& event)
 {
-    auto& peer = peers_[id];
-    peer.failureDomain = std::move(failureDomain);
-    peer.reports = reports;
+    auto& peer = peers_[event.peer];
+    peer.failureDomain = event.failureDomain;
+    peer.reports = event.reports;
+    peer.linkMegabits = event.linkMegabits;
 }
 
 void PeerLoads::unlist(Base::EntryVmId id)
--- a/Libraries/LibSteering/Process/PeerLoads.h
+++ b/Libraries/LibSteering/Process/PeerLoads.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Time.h>
+#include <LibSteering/Events.h>
 #include <LibSteering/Process/LoadReport.h>
 #include <LibSteering/Process/ServerTable.h>
 #include <unordered_map>
@@ -13,6 +14,7 @@
     struct Peer {
         std::string failureDomain;
         Base::Ipv4Endpoint reports;
+        uint64_t linkMegabits { 0 };
         uint64_t sequence { 0 };
         uint64_t revision { 0 };
         StoreView store { StoreView::NotWatching };
@@ -26,7 +28,7 @@
     {
     }
 
-    void list(Base::EntryVmId, std::string failureDomain, Base::Ipv4Endpoint reports);
+    void list(const PeerListed&);
     void unlist(Base::EntryVmId);
     /// False for an unknown sender, or when a newer report was there before.
     bool take(Base::TimePoint now, const LoadReport&);
--- a/Libraries/LibSteering/Process/WatcherChoice.cpp
+++ b/Libraries/LibSteering/Process/WatcherChoice.cpp
@@ -1,5 +1,7 @@
 #include <LibSteering/Process/WatcherChoice.h>
 
+#include <utility>
+
 namespace Steering {
 
 namespace {
@@ -20,11 +22,12 @@
 bool WatcherChoice::isWatcher(
     Base::TimePoint now, const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers) const
 {
+    const std::pair ownRank(-static_cast<int64_t>(options_.linkMegabits), Base::mix(options_.self.value));
     std::size_t ahead = 0;
     std::size_t silentAhead = 0;
     for (const auto& [id, peer] : peers) {
         const bool isAhead = peer.failureDomain == options_.failureDomain && isHeard(now, peer)
-            && Base::mix(id.value) < Base::mix(options_.self.value);
+            && std::pair(-static_cast<int64_t>(peer.linkMegabits), Base::mix(id.value)) < ownRank;
         ahead += isAhead ? 1 : 0;
         silentAhead += isAhead && peer.store == StoreView::Silent ? 1 : 0;
     }
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -126,7 +126,7 @@
 {
     if (event.peer == options_.self)
         return;
-    peerLoads_.list(event.peer, event.failureDomain, event.reports);
+    peerLoads_.list(event);
     if (std::ranges::find(peerIds_, event.peer) == peerIds_.end())
         peerIds_.push_back(event.peer);
 }
@@ -232,6 +232,8 @@
         server.suspectUntil = std::max(server.suspectUntil, now + attemptTime);
     ++server.ownInProgress;
     record.isCounted = true;
+    record.offeredAt = now;
+    record.offeredInattention = inattention_;
     record.offers[record.offerCount++] = server.entry.number;
     ++statistics_.chosen[static_cast<std::size_t>(choice.tier)];
     return forwardTo(server);
@@ -284,9 +286,8 @@
     if (bytes.size() == FirstPacketBytes {}.size()) {
         PendingOffer pending { .flow = packet.flow, .sequence = packet.sequence };
         std::memcpy(pending.bytes.data(), bytes.data(), bytes.size());
-        const auto delay = std::clamp<Base::microseconds>(
-            handshakeTime_ * handshakesUntilReoffer, shortestReofferDelay, longestReofferDelay);
-        pending.dueAt = now + delay;
+        pending.dueAt = now + reofferDelay();
+        pending.inattention = inattention_;
         pendingOffers_.push_back(pending);
     }
     return verdict;
@@ -340,7 +341,8 @@
     reachability_.noteAnswered(server.domain);
     readiness_.noteAnswered();
     ++statistics_.opened;
-    const auto sample = std::chrono::duration_cast<Base::microseconds>(now - record.firstSeen);
+    const auto sample = std::chrono::duration_cast<Base::microseconds>(now - record.firstSeen
+        - (record.offerCount == 1 ? inattention_ - record.offeredInattention : Base::nanoseconds(0)));
     const auto bucket = std::ranges::lower_bound(handshakeBounds, sample) - handshakeBounds.begin();
     ++statistics_.handshakes[static_cast<std::size_t>(bucket)];
     statistics_.handshakeSum += sample;
@@ -375,7 +377,9 @@
 
 void SteeringDecider::noteSilence(Base::TimePoint now, const FlowRecord& record)
 {
-    if (record.offerCount == 0)
+    // A caller's copy may come while the answer to the first packet is still unread.
+    const auto attendedFor = now - record.offeredAt - (inattention_ - record.offeredInattention);
+    if (record.offerCount == 0 || attendedFor < reofferDelay())
         return;
     const auto index = servers_.find(record.offers[record.offerCount - 1]);
     if (!index)
@@ -393,6 +397,17 @@
         = std::max(server.suspectUntil, now + std::min(longestSuspicion, firstSuspicion * (1 << doublings)));
 }
 
+Base::microseconds SteeringDecider::reofferDelay() const
+{
+    return std::clamp<Base::microseconds>(
+        handshakeTime_ * handshakesUntilReoffer, shortestReofferDelay, longestReofferDelay);
+}
+
+Base::TimePoint SteeringDecider::dueTime(const PendingOffer& pending) const
+{
+    return pending.dueAt + (inattention_ - pending.inattention);
+}
+
 std::optional<Reoffer> SteeringDecider::reoffer(Base::TimePoint now, const PendingOffer& pending)
 {
     auto* record = flows_.find(pending.flow);
@@ -436,7 +451,7 @@
 std::vector<Reoffer> SteeringDecider::handleTimers(Base::TimePoint now)
 {
     std::vector<Reoffer> reoffers;
-    while (!pendingOffers_.empty() && pendingOffers_.front().dueAt <= now) {
+    while (!pendingOffers_.empty() && dueTime(pendingOffers_.front()) <= now) {
         const auto pending = pendingOffers_.front();
         pendingOffers_.pop_front();
         if (auto again = reoffer(now, pending))
@@ -455,7 +470,7 @@
 Base::TimePoint SteeringDecider::nextTimer(Base::TimePoint now) const
 {
     const auto expiry = std::max(now, nextExpiry_);
-    return pendingOffers_.empty() ? expiry : std::min(expiry, pendingOffers_.front().dueAt);
+    return pendingOffers_.empty() ? expiry : std::min(expiry, dueTime(pendingOffers_.front()));
 }
 
 std::vector<ServerLoad> SteeringDecider::ownLoads()
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -93,6 +93,9 @@
     void handle(Base::TimePoint now, const BeliefEvent&);
     /// bytes: the packet as received, kept for a second offer when it opens a flow.
     Verdict decide(Base::TimePoint now, const PacketView&, std::span<const std::byte> bytes);
+    /// The host read no packets for this long, since it was busy or did not run. Answers that came meanwhile are still
+    /// unread, so that nobody's silence counts for that time.
+    void noteInattention(Base::nanoseconds time) { inattention_ += time; }
     /// What is due: first packets to be offered again.
     std::vector<Reoffer> handleTimers(Base::TimePoint now);
     /// When handleTimers has something to do at the latest.
@@ -133,6 +136,8 @@
         uint32_t sequence { 0 };
         FirstPacketBytes bytes {};
         Base::TimePoint dueAt;
+        /// The sum of inattention when the packet was offered.
+        Base::nanoseconds inattention { 0 };
     };
 
     void apply(Base::TimePoint now, const ConfigurationChanged&);
@@ -155,6 +160,9 @@
     Verdict forwardTo(const Server&);
     Verdict refuse(const PacketView&, Refusal, VerdictKind);
     void noteSilence(Base::TimePoint now, const FlowRecord&);
+    /// When a pending offer is due, with the inattention since then.
+    Base::TimePoint dueTime(const PendingOffer&) const;
+    Base::microseconds reofferDelay() const;
     std::optional<Reoffer> reoffer(Base::TimePoint now, const PendingOffer&);
     void release(FlowRecord&);
     bool keepRecord(Base::TimePoint now, const Packet::FlowKey&, FlowRecord&);
@@ -175,6 +183,7 @@
     std::deque<PendingOffer> pendingOffers_;
     /// Smoothed time from a first packet to the handshake's end.
     Base::microseconds handshakeTime_;
+    Base::nanoseconds inattention_ { 0 };
     Base::TimePoint nextExpiry_ {};
     SteeringStatistics statistics_;
 };
--- a/Meta/eelgrasshatch.sh
+++ b/Meta/eelgrasshatch.sh
@@ -15,6 +15,7 @@
   test             set-up, build, then all tests
   demo [NAME]      set-up, build, then the main job (midshires or kiprono; --json for machines)
   measure NAME     print FIGURE lines of one measurement (--seed N; "measure list" names them all)
+  soak             disturb entry VMs that run as processes, and check the promises (--seed N, --seeds N, --minutes M)
   format           rewrite the sources with clang-format
   lint             check formatting and run clang-tidy
   generate         regenerate the committed protobuf and gRPC code from the schema files
@@ -30,6 +31,7 @@
         test) echo "test [CTEST ARGUMENTS]: runs ctest; KNOWN-RED.txt entries are reported apart." ;;
         demo) echo "demo [midshires|kiprono] [--json]: runs the main job; exit 1 if an invariant broke." ;;
         measure) echo "measure NAME [--seed N] [--plot DIR]: FIGURE <name> <value> <unit>, one a line; unknown name: exit 2." ;;
+        soak) echo "soak [--seed N] [--seeds COUNT] [--minutes M] [--jobs J] [--seconds S]: exit 1 if a promise was broken." ;;
         format) echo "format: rewrites every .h and .cpp outside Generated folders." ;;
         lint) echo "lint [FILES]: clang-format check, then clang-tidy; exit 1 on a finding." ;;
         reference) echo "reference: pages that tests compare with the programs; docs/slopes.txt feeds the capacity table." ;;
@@ -96,6 +98,12 @@
     "$BUILD/bin/eelgrasshatch-measure" "$@"
 }
 
+do_soak() {
+    do_setup
+    do_build
+    "$ROOT/Meta/soak.sh" "$BUILD" "$@"
+}
+
 main() {
     local command="${1:-help}"
     shift || true
@@ -106,7 +114,7 @@
         fi
     done
     case "$command" in
-        setup | build | test | demo | measure | format | lint | reference) "do_$command" "$@" ;;
+        setup | build | test | demo | measure | soak | format | lint | reference) "do_$command" "$@" ;;
         generate) "$ROOT/Meta/generate.sh" "$@" ;;
         help | --help | -h) if [ $# -gt 0 ]; then command_help "$1"; else usage; fi ;;
         *)
--- a/StandIns/LibFleet/FleetServer.cpp
+++ b/StandIns/LibFleet/FleetServer.cpp
@@ -165,8 +165,11 @@
 void FleetServer::takeData(Base::TimePoint now, Flow& flow, const FlowPacket& packet)
 {
     const auto end = packet.sequence + static_cast<uint32_t>(packet.data.size());
-    if (end == flow.answeredSequence) {
-        sendAnswer(packet.from, flow);
+    const auto progress = static_cast<int32_t>(end - flow.answeredSequence);
+    if (flow.answeredSequence != 0 && progress <= 0) {
+        // A paused entry VM may pass on a repeated packet long after the request was answered.
+        if (progress == 0 && !flow.isWorking)
+            sendAnswer(packet.from, flow);
         return;
     }
     if (flow.isWorking)
--- a/Tests/LibMirror/TestMirror.cpp
+++ b/Tests/LibMirror/TestMirror.cpp
@@ -1,4 +1,5 @@
 #include <LibBase/Random.h>
+#include <LibMirror/Compression.h>
 #include <LibMirror/Mirror.h>
 #include <LibMirror/RelayMessage.h>
 #include <catch2/catch.hpp>
@@ -139,3 +140,21 @@
         Base::capture([&] { return Mirror::decodeQuestion(damaged); });
     }
 }
+
+TEST_CASE("a large configuration travels at a small part of its size, and comes back whole")
+{
+    std::string configuration;
+    for (int route = 0; route < 1400; ++route) {
+        configuration += R"({"name":"r-)" + std::to_string(route * 7919 % 100'003) + R"(","host":"198.18.0.)"
+            + std::to_string(route % 250) + R"(","prefix":"/8443/","route_type":"safe","timeout_ms":1500},)";
+    }
+    const ChangeBatch batch { .after = 3, .upTo = 9, .records = { put("op/config", 9, configuration) } };
+    const auto bytes = Mirror::encodeBatch(batch);
+    // Eight entry VMs fetch it over one link of 10 Mbit/s; with half a second for that, each may take 78 kB.
+    CHECK(bytes.size() < 78'000);
+    const auto read = Base::capture([&] { return Mirror::decodeBatch(bytes); });
+    REQUIRE(read.isOk());
+    CHECK(read.value->records == batch.records);
+    CHECK_FALSE(
+        Base::capture([&] { return Mirror::decompress(Mirror::compress(std::vector<std::byte>(5000)), 4999); }).isOk());
+}
--- a/Tests/LibSteering/TestSilence.cpp
+++ b/Tests/LibSteering/TestSilence.cpp
@@ -133,3 +133,23 @@
             0, 5)
         <= 5);
 }
+
+TEST_CASE_METHOD(SteeringFixture, "silence does not count for the time in which the host read no packets")
+{
+    configure();
+    synchronize();
+    list(1);
+    list(2);
+    for (uint16_t port = 1; port <= 30; ++port)
+        sendFirst(port);
+    // A busy or slow host: answers that came meanwhile are unread.
+    decider_.noteInattention(milliseconds(400));
+    now_ += milliseconds(400);
+    advance(milliseconds(0));
+    CHECK(reoffers_.empty());
+    CHECK(sendFirst(1).kind == Steering::VerdictKind::Forward);
+    CHECK(decider_.isReady(now_));
+    CHECK(decider_.statistics().unanswered == 0);
+    advance(milliseconds(100));
+    CHECK_FALSE(reoffers_.empty());
+}
--- a/Tests/LibSteering/TestWatcherChoice.cpp
+++ b/Tests/LibSteering/TestWatcherChoice.cpp
@@ -74,3 +74,18 @@
     peers[SteeringFixture::peer(3)].heardAt = now - Base::milliseconds(1500);
     CHECK_FALSE(WatcherChoice::isStoreAnswering(now, StoreView::NotWatching, peers));
 }
+
+TEST_CASE("the widest link of a failure domain follows the store")
+{
+    Peers peers;
+    for (uint32_t other = 2; other <= 5; ++other) {
+        peers[SteeringFixture::peer(other)]
+            = { .failureDomain = "brum", .linkMegabits = other == 4 ? 200U : 10U, .heardAt = now };
+    }
+    const auto chooses = [&](uint64_t link) {
+        return WatcherChoice({ .self = SteeringFixture::peer(1), .failureDomain = "brum", .linkMegabits = link })
+            .isWatcher(now, peers);
+    };
+    CHECK_FALSE(chooses(10));
+    CHECK(chooses(1000));
+}
