--- a/Libraries/LibSteering/Process/Readiness.cpp
+++ b/Libraries/LibSteering/Process/Readiness.cpp
@@ -9,15 +9,24 @@
     /// Without callers there are no first packets to learn from. An attempt that comes too early costs its callers the
     /// second and a half that the fabric takes to react twice.
     constexpr Base::milliseconds isolationTime { 6000 };
+    /// The first packets after a start waited in the socket; some of their callers have given up meanwhile.
+    constexpr Base::milliseconds settlingTime { 1000 };
     constexpr uint32_t answeredUntilBack = 3;
     /// What was sent before the isolation may still arrive.
     constexpr Base::milliseconds heardGrace { 400 };
 
 }
 
+void Readiness::setComplete(Base::TimePoint now)
+{
+    if (!complete_)
+        completeSince_ = now;
+    complete_ = true;
+}
+
 void Readiness::noteUnanswered(Base::TimePoint now, uint32_t inRow)
 {
-    if (inRow < unansweredUntilIsolated)
+    if (inRow < unansweredUntilIsolated || now - completeSince_ < settlingTime)
         return;
     answeredWhileIsolated_ = 0;
     if (!isIsolated(now))
--- a/Libraries/LibSteering/Process/Readiness.h
+++ b/Libraries/LibSteering/Process/Readiness.h
@@ -11,7 +11,7 @@
 class Readiness {
 public:
     /// A configuration and everything else that the store holds is known.
-    void setComplete() { complete_ = true; }
+    void setComplete(Base::TimePoint now);
     void setStopping() { stopping_ = true; }
 
     /// A first packet brought no sign of life; inRow: how many in a row, over all backend servers.
@@ -25,6 +25,7 @@
 
 private:
     bool complete_ { false };
+    Base::TimePoint completeSince_ {};
     bool stopping_ { false };
     uint32_t answeredWhileIsolated_ { 0 };
     Base::TimePoint isolatedSince_ {};
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -85,7 +85,7 @@
     return compiled;
 }
 
-void SteeringDecider::apply(Base::TimePoint, const ConfigurationChanged& event)
+void SteeringDecider::apply(Base::TimePoint now, const ConfigurationChanged& event)
 {
     // Versions never go back within a process, whatever order the sources deliver them in.
     if (configuration_ && event.configuration->revision <= configuration_->revision)
@@ -94,14 +94,14 @@
     routes_.clear();
     for (const auto& route : configuration_->routes)
         routes_[route.endpoint] = compile(route);
-    noteCompleteness();
+    noteCompleteness(now);
 }
 
-void SteeringDecider::noteCompleteness()
+void SteeringDecider::noteCompleteness(Base::TimePoint now)
 {
     // The store may be read before operators have written the first configuration.
     if (isSynchronized_ && configuration_)
-        readiness_.setComplete();
+        readiness_.setComplete(now);
 }
 
 void SteeringDecider::apply(Base::TimePoint now, const ServerListed& event)
@@ -137,10 +137,10 @@
     std::erase(peerIds_, event.peer);
 }
 
-void SteeringDecider::apply(Base::TimePoint, const BeliefsSynchronized&)
+void SteeringDecider::apply(Base::TimePoint now, const BeliefsSynchronized&)
 {
     isSynchronized_ = true;
-    noteCompleteness();
+    noteCompleteness(now);
 }
 
 void SteeringDecider::apply(Base::TimePoint now, const StoreReachable& event)
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -149,7 +149,7 @@
     void apply(Base::TimePoint now, const BeliefsSynchronized&);
     void apply(Base::TimePoint now, const StoreReachable&);
     CompiledRoute compile(const Route&);
-    void noteCompleteness();
+    void noteCompleteness(Base::TimePoint now);
 
     Verdict decideFirst(Base::TimePoint now, const PacketView&, const CompiledRoute&, std::span<const std::byte> bytes);
     Verdict decideLater(Base::TimePoint now, const PacketView&, const CompiledRoute&);
--- a/Tests/LibSteering/TestSilence.cpp
+++ b/Tests/LibSteering/TestSilence.cpp
@@ -66,6 +66,7 @@
 {
     configure();
     synchronize();
+    advance(milliseconds(1100));
     list(1, "notts");
     list(2, "notts");
     decider_.handle(now_, Steering::PeerListed { .peer = peer(2), .failureDomain = "notts", .reports = {} });
@@ -87,6 +88,7 @@
     synchronize();
     list(1);
     list(2);
+    advance(milliseconds(1100));
     for (uint16_t port = 1; port <= 30; ++port) {
         sendFirst(port);
         advance(milliseconds(10));
@@ -153,3 +155,15 @@
     advance(milliseconds(100));
     CHECK_FALSE(reoffers_.empty());
 }
+
+TEST_CASE_METHOD(SteeringFixture, "first packets that waited through a start say nothing about isolation")
+{
+    configure();
+    synchronize();
+    list(1);
+    for (uint16_t port = 1; port <= 30; ++port)
+        sendFirst(port);
+    advance(milliseconds(300));
+    CHECK(decider_.statistics().unanswered >= 10);
+    CHECK(decider_.isReady(now_));
+}
