LibSteering: Bound the reports between entry VMs at any size of the fleet

Cause: each entry VM reported to all others, less often the more there were: at 300 machines a report every three seconds, so that every one would have taken its silent watcher for dead and followed the store itself.

Change: up to 32 entry VMs of a failure domain all report to each other; a larger one is parted into cells that know their backend servers' load and prefer them, with a tree by rank above; other domains hear from counterparts.

Measured by tests at 3,400 entry VMs: at most 60 peers each, one watcher a domain, news reach everybody in six steps or fewer, at most 16 substitutes when a watcher dies.

--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -67,6 +67,7 @@
         new PacketThread(settings, feed, catchUp, store, std::move(authenticator), dataSocket, reportSocket,
             { .self = settings.identity(),
                 .failureDomain = settings.failureDomain,
+                .linkMegabits = static_cast<uint64_t>(settings.limits.linkMegabits),
                 .regions = std::move(regions),
                 .warmUpOvershoot = settings.warmUp.overshoot,
                 .warmUpSlack = settings.warmUp.slack,
@@ -313,11 +314,14 @@
     const bool isFarDue = now >= nextFarReport_;
     if (!isNearDue && !isFarDue)
         return;
-    const auto peerCount = static_cast<int64_t>(decider_.peers().size());
+    const auto& topology = decider_.topology();
+    const auto interval = [](Base::milliseconds shortest, std::size_t targets) {
+        return std::max(shortest, timeForEachPeer * static_cast<int64_t>(targets));
+    };
     if (isNearDue)
-        nextNearReport_ = now + std::max(nearReportInterval, timeForEachPeer * peerCount);
+        nextNearReport_ = now + interval(nearReportInterval, topology.nearTargets().size());
     if (isFarDue)
-        nextFarReport_ = now + std::max(farReportInterval, 2 * timeForEachPeer * peerCount);
+        nextFarReport_ = now + interval(farReportInterval, topology.farTargets().size());
     if (decider_.peers().empty())
         return;
     const auto body = Steering::encodeLoadReport({ .sender = settings_.identity(),
@@ -329,14 +333,23 @@
     const auto code = authenticator_.sign(body);
     std::vector<std::byte> datagram(code.begin(), code.end());
     datagram.insert(datagram.end(), body.begin(), body.end());
-    for (const auto& [id, peer] : decider_.peers()) {
-        const bool isDue = peer.failureDomain == settings_.failureDomain ? isNearDue : isFarDue;
-        if (!isDue)
+    if (isNearDue)
+        sendReport(topology.nearTargets(), datagram);
+    if (isFarDue)
+        sendReport(topology.farTargets(), datagram);
+}
+
+void PacketThread::sendReport(const std::vector<Base::EntryVmId>& targets, std::span<const std::byte> datagram)
+{
+    for (const auto target : targets) {
+        const auto peer = decider_.peers().find(target);
+        if (peer == decider_.peers().end())
             continue;
+        const auto& reports = peer->second.reports;
         sockaddr_in address {};
         address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(peer.reports.address.value);
-        address.sin_port = htons(peer.reports.port);
+        address.sin_addr.s_addr = htonl(reports.address.value);
+        address.sin_port = htons(reports.port);
         const auto sent = ::sendto(reportSocket_, datagram.data(), datagram.size(), MSG_DONTWAIT,
             reinterpret_cast<const sockaddr*>(&address), sizeof(address));
         ++(sent >= 0 ? figures_.reportsSent : figures_.sendFailures);
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -79,6 +79,7 @@
     /// Decides who follows the store, and what this means for what is known of it.
     void chooseWatcher(Base::TimePoint now);
     void sendReports(Base::TimePoint now);
+    void sendReport(const std::vector<Base::EntryVmId>& targets, std::span<const std::byte> datagram);
     void sleepUntilNextTimer(Base::TimePoint now);
     /// Logs that the process did not run for a while.
     void notePause();
--- a/Libraries/LibSteering/Process/WatcherChoice.cpp
+++ b/Libraries/LibSteering/Process/WatcherChoice.cpp
@@ -1,13 +1,14 @@
 #include <LibSteering/Process/WatcherChoice.h>
 
-#include <utility>
+#include <LibSteering/Process/PeerTopology.h>
 
 namespace Steering {
 
 namespace {
 
-    /// Reports come every 100 ms in a failure domain, so that ten in a row are missing.
-    constexpr Base::milliseconds silenceOfWatcher { 1000 };
+    /// Reports come every 100 ms in a small failure domain and every 400 ms in the largest, so that three in a row are
+    /// missing at least.
+    constexpr Base::milliseconds silenceOfWatcher { 1200 };
 
     /// Entry VMs that try in place of watchers that the store does not answer.
     constexpr std::size_t substitutes = 2;
@@ -22,12 +23,12 @@
 bool WatcherChoice::isWatcher(
     Base::TimePoint now, const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers) const
 {
-    const std::pair ownRank(-static_cast<int64_t>(options_.linkMegabits), Base::mix(options_.self.value));
+    const auto ownRank = PeerTopology::rankOf(options_.self, options_.linkMegabits);
     std::size_t ahead = 0;
     std::size_t silentAhead = 0;
     for (const auto& [id, peer] : peers) {
         const bool isAhead = peer.failureDomain == options_.failureDomain && isHeard(now, peer)
-            && std::pair(-static_cast<int64_t>(peer.linkMegabits), Base::mix(id.value)) < ownRank;
+            && PeerTopology::rankOf(id, peer.linkMegabits) < ownRank;
         ahead += isAhead ? 1 : 0;
         silentAhead += isAhead && peer.store == StoreView::Silent ? 1 : 0;
     }
--- a/Libraries/LibSteering/Request/ServerChoice.cpp
+++ b/Libraries/LibSteering/Request/ServerChoice.cpp
@@ -10,6 +10,8 @@
     /// Work in progress for each slot that a server in another failure domain must be better by. Just under half a
     /// slot's pair: another domain is taken as soon as the own one has no free slot left.
     constexpr double otherDomainCost = 0.45;
+    /// Servers whose load is not known here are taken once those that are known have no slot free.
+    constexpr double unknownLoadCost = 1.0;
 
     /// Keeps the best of several, and each of the equally best with the same probability.
     class Best {
@@ -60,6 +62,7 @@
     , reachability_(reachability)
     , allowance_(allowance)
     , ownDomain_(servers.domainIndex(options.failureDomain))
+    , isPreferred_(options.isPreferred)
     , random_(options.seed)
 {
 }
@@ -83,7 +86,9 @@
 double ServerChoice::cost(const Server& server) const
 {
     const auto slots = static_cast<double>(std::max<uint32_t>(1, server.entry.slots));
-    return static_cast<double>(server.inProgress()) / slots + (server.domain == ownDomain_ ? 0 : otherDomainCost);
+    const bool isKnown = !isPreferred_ || isPreferred_(server.entry.number);
+    return static_cast<double>(server.inProgress()) / slots + (server.domain == ownDomain_ ? 0 : otherDomainCost)
+        + (isKnown ? 0 : unknownLoadCost);
 }
 
 std::optional<Choice> ServerChoice::choose(Base::TimePoint now, const Question& question)
--- a/Libraries/LibSteering/Request/ServerChoice.h
+++ b/Libraries/LibSteering/Request/ServerChoice.h
@@ -34,6 +34,8 @@
     struct Options {
         std::string failureDomain;
         uint64_t seed { 1 };
+        /// Whether the server's load is known well, since all that use it report here; empty: always.
+        std::function<bool(BackendServerNumber)> isPreferred {};
     };
 
     ServerChoice(const Options&, ServerTable&, DomainReachability&, WarmUpAllowance&);
@@ -62,6 +64,7 @@
     DomainReachability& reachability_;
     WarmUpAllowance& allowance_;
     DomainIndex ownDomain_;
+    std::function<bool(BackendServerNumber)> isPreferred_;
     std::unordered_set<DomainIndex> evacuated_;
     Base::Random random_;
 };
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -60,7 +60,11 @@
     , servers_({ .retention = options.flowLifetime })
     , allowance_({ .self = options.self, .overshoot = options.warmUpOvershoot, .slack = options.warmUpSlack })
     , peerLoads_(servers_)
-    , choice_({ .failureDomain = options.failureDomain, .seed = options.seed }, servers_, reachability_, allowance_)
+    , topology_({ .self = options.self, .failureDomain = options.failureDomain, .linkMegabits = options.linkMegabits })
+    , choice_({ .failureDomain = options.failureDomain,
+                  .seed = options.seed,
+                  .isPreferred = [this](BackendServerNumber number) { return topology_.isOwnCell(number); } },
+          servers_, reachability_, allowance_)
     , flows_({ .maximumFlows = options.maximumFlows })
     , handshakeTime_(firstHandshakeGuess)
 {
@@ -129,12 +133,14 @@
     peerLoads_.list(event);
     if (std::ranges::find(peerIds_, event.peer) == peerIds_.end())
         peerIds_.push_back(event.peer);
+    isTopologyStale_ = true;
 }
 
 void SteeringDecider::apply(Base::TimePoint, const PeerUnlisted& event)
 {
     peerLoads_.unlist(event.peer);
     std::erase(peerIds_, event.peer);
+    isTopologyStale_ = true;
 }
 
 void SteeringDecider::apply(Base::TimePoint now, const BeliefsSynchronized&)
@@ -463,6 +469,10 @@
     flows_.check(now, [&](const Packet::FlowKey& flow, FlowRecord& record) { return keepRecord(now, flow, record); });
     servers_.expire(now);
     peerLoads_.expire(now);
+    // A start lists thousands of peers at once; working it out for each of them would take seconds.
+    if (isTopologyStale_)
+        topology_.update(peerLoads_.peers());
+    isTopologyStale_ = false;
     allowance_.expire(now);
     return reoffers;
 }
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -8,6 +8,7 @@
 #include <LibSteering/Events.h>
 #include <LibSteering/Process/DomainReachability.h>
 #include <LibSteering/Process/PeerLoads.h>
+#include <LibSteering/Process/PeerTopology.h>
 #include <LibSteering/Process/Readiness.h>
 #include <LibSteering/Process/ServerTable.h>
 #include <LibSteering/Process/WarmUpAllowance.h>
@@ -75,6 +76,8 @@
     struct Options {
         Base::EntryVmId self;
         std::string failureDomain;
+        /// Capacity of this entry VM's link, in Mbit/s.
+        uint64_t linkMegabits { 0 };
         /// Region of each failure domain.
         std::map<std::string, std::string> regions;
         double warmUpOvershoot { 1.0 };
@@ -106,6 +109,8 @@
     /// Work in progress that this node has placed.
     std::vector<ServerLoad> ownLoads();
     const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers() const { return peerLoads_.peers(); }
+    /// Whom to report to.
+    const PeerTopology& topology() const { return topology_; }
 
     /// Whether a configuration and everything else that the store holds is known.
     bool isComplete() const { return isSynchronized_ && configuration_ != nullptr; }
@@ -173,6 +178,9 @@
     DomainReachability reachability_;
     WarmUpAllowance allowance_;
     PeerLoads peerLoads_;
+    PeerTopology topology_;
+    /// The list of peers has changed since topology_ was worked out.
+    bool isTopologyStale_ { false };
     ServerChoice choice_;
     FlowTable flows_;
     Readiness readiness_;
--- /dev/null
+++ b/Tests/LibSteering/TestPeerTopology.cpp
@@ -0,0 +1,125 @@
+#include "Fixture.h"
+
+#include <LibSteering/Process/PeerTopology.h>
+#include <LibSteering/Process/WatcherChoice.h>
+#include <catch2/catch.hpp>
+#include <queue>
+#include <set>
+
+using Steering::PeerLoads;
+using Steering::PeerTopology;
+
+namespace {
+
+using Peers = std::unordered_map<Base::EntryVmId, PeerLoads::Peer>;
+
+constexpr uint32_t domainCount = 4;
+const auto now = Base::TimePoint {} + Base::milliseconds(60'000);
+
+std::string domainOf(uint32_t entryVm) { return "domain-" + std::to_string(entryVm % domainCount); }
+
+/// Whom each entry VM of a fleet reports to.
+std::vector<std::set<uint32_t>> reportGraph(uint32_t size, std::vector<std::size_t>* nearCounts = nullptr)
+{
+    Peers all;
+    std::unordered_map<Base::EntryVmId, uint32_t> numbers;
+    for (uint32_t entryVm = 0; entryVm < size; ++entryVm) {
+        const auto id = SteeringFixture::peer(entryVm + 1);
+        all[id] = { .failureDomain = domainOf(entryVm), .linkMegabits = entryVm % 10 == 0 ? 200U : 10U };
+        numbers[id] = entryVm;
+    }
+    std::vector<std::set<uint32_t>> targets(size);
+    for (uint32_t entryVm = 0; entryVm < size; ++entryVm) {
+        const auto id = SteeringFixture::peer(entryVm + 1);
+        const auto self = all.extract(id);
+        const auto link = self.mapped().linkMegabits;
+        PeerTopology topology({ .self = id, .failureDomain = domainOf(entryVm), .linkMegabits = link });
+        topology.update(all);
+        for (const auto target : topology.nearTargets())
+            targets[entryVm].insert(numbers.at(target));
+        for (const auto target : topology.farTargets())
+            targets[entryVm].insert(numbers.at(target));
+        if (nearCounts != nullptr)
+            nearCounts->push_back(topology.nearTargets().size());
+        all[id] = self.mapped();
+    }
+    return targets;
+}
+
+/// Entry VMs of one domain that become watchers when they have heard of those who report to them.
+std::vector<uint32_t> watchersOf(
+    const std::vector<std::set<uint32_t>>& targets, const std::string& domain, std::set<uint32_t> dead)
+{
+    std::vector<uint32_t> watchers;
+    for (uint32_t self = 0; self < targets.size(); ++self) {
+        if (domainOf(self) != domain || dead.contains(self))
+            continue;
+        Peers heard;
+        for (uint32_t other = 0; other < targets.size(); ++other) {
+            if (targets[other].contains(self) && !dead.contains(other))
+                heard[SteeringFixture::peer(other + 1)] = {
+                    .failureDomain = domainOf(other), .linkMegabits = other % 10 == 0 ? 200U : 10U, .heardAt = now
+                };
+        }
+        const Steering::WatcherChoice choice({ .self = SteeringFixture::peer(self + 1),
+            .failureDomain = domain,
+            .linkMegabits = self % 10 == 0 ? 200U : 10U });
+        if (choice.isWatcher(now, heard))
+            watchers.push_back(self);
+    }
+    return watchers;
+}
+
+}
+
+TEST_CASE("in a small fleet all report to all")
+{
+    const auto targets = reportGraph(33);
+    for (const auto& peers : targets)
+        CHECK(peers.size() == 32);
+    CHECK(watchersOf(targets, "domain-0", {}).size() == 1);
+}
+
+TEST_CASE("at the target's size reports stay bounded, and one entry VM of each domain follows the store")
+{
+    constexpr uint32_t fleet = 3400;
+    std::vector<std::size_t> nearCounts;
+    const auto targets = reportGraph(fleet, &nearCounts);
+    // A report takes about 100 bytes; 25 kB a second for control allow 60 peers four times a second.
+    for (const auto& peers : targets)
+        CHECK(peers.size() <= 60);
+    for (uint32_t domain = 0; domain < domainCount; ++domain)
+        CHECK(watchersOf(targets, domainOf(domain), {}).size() == 1);
+
+    SECTION("news spread from any domain's entry VMs to everybody in few steps")
+    {
+        for (const uint32_t origin : { 0U, 1U, 2U, 3U }) {
+            std::vector<int> steps(fleet, -1);
+            std::queue<uint32_t> queue({ origin });
+            steps[origin] = 0;
+            int most = 0;
+            while (!queue.empty()) {
+                const auto at = queue.front();
+                queue.pop();
+                most = std::max(most, steps[at]);
+                for (const auto next : targets[at]) {
+                    if (steps[next] < 0) {
+                        steps[next] = steps[at] + 1;
+                        queue.push(next);
+                    }
+                }
+            }
+            CHECK(std::ranges::find(steps, -1) == steps.end());
+            // With 400 ms between reports, six steps fit well into nine seconds.
+            CHECK(most <= 6);
+        }
+    }
+
+    SECTION("when the watcher dies, some take over until it is off the list, never a whole domain")
+    {
+        const auto watcher = watchersOf(targets, "domain-0", {}).front();
+        const auto substitutes = watchersOf(targets, "domain-0", { watcher }).size();
+        CHECK(substitutes >= 1);
+        CHECK(substitutes <= 16);
+    }
+}
