LibEntry, LibSteering: Read the store page by page; load of other cells and domains counts as unknown

Bytes between domains grew, since servers of other domains looked cheaper than those of other cells of the own one.

Change: a refused page is asked for again, pages before it are kept, and a peer's records end the listing; in a parted domain only the own cell's load counts as known. Test for the order of choice.

--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -58,6 +58,7 @@
 
 void StoreThread::rest()
 {
+    partial_.reset();
     if (view_.exchange(Steering::StoreView::NotWatching) != Steering::StoreView::NotWatching) {
         client_.close();
         Log::write(Events::watchEnded, Log::Fields().add("revision", feed_.revision()));
@@ -67,27 +68,52 @@
 
 bool StoreThread::follow()
 {
-    const bool mustRead = !feed_.isSynchronized() || isHistoryGone_;
-    const auto answer = mustRead
-        ? client_.readAll(Platform::Names::keyPrefixAll)
-        : client_.watch(Platform::Names::keyPrefixAll, feed_.revision(), settings_.store.watchTime);
-    counters_.count(mustRead ? StoreCall::Read : StoreCall::Watch, answer.outcome);
+    if (!feed_.isSynchronized() || isHistoryGone_)
+        return readNextPage();
+    // A peer was quicker.
+    partial_.reset();
+    return watch();
+}
+
+bool StoreThread::readNextPage()
+{
+    const auto after = partial_ ? partial_->records.back().key : std::string();
+    auto page = client_.readPage(Platform::Names::keyPrefixAll, after);
+    counters_.count(StoreCall::Read, page.outcome);
+    if (!page.isOk()) {
+        noteFailure(page.outcome, page.detail);
+        return false;
+    }
+    noteSuccess();
+    const bool hasMore = page.value.hasMore;
+    if (!partial_)
+        partial_ = std::move(page.value);
+    else
+        std::ranges::move(page.value.records, std::back_inserter(partial_->records));
+    if (hasMore)
+        return true;
+    // The first page's revision counts: what changed since comes again through the watch.
+    partial_->hasMore = false;
+    feed_.apply(*partial_, "store");
+    partial_.reset();
+    isHistoryGone_ = false;
+    return true;
+}
+
+bool StoreThread::watch()
+{
+    const auto answer = client_.watch(Platform::Names::keyPrefixAll, feed_.revision(), settings_.store.watchTime);
+    counters_.count(StoreCall::Watch, answer.outcome);
     if (answer.outcome == Platform::StoreOutcome::HistoryGone) {
         Log::write(Events::historyGone, Log::Fields().add("revision", feed_.revision()));
         isHistoryGone_ = true;
         return true;
     }
-    if (worker_.isStopping())
-        return true;
     if (!answer.isOk()) {
         noteFailure(answer.outcome, answer.detail);
         return false;
     }
-    failures_ = 0;
-    isHistoryGone_ = false;
-    if (view_.exchange(Steering::StoreView::Answers) == Steering::StoreView::NotWatching)
-        Log::write(Events::watchBegun, Log::Fields().add("revision", feed_.revision()));
-    feed_.setStoreReachable(true, "answered");
+    noteSuccess();
     feed_.apply(answer.value, "store");
     // Changes come in series; a call for each of them would cost more than the little time.
     if (!answer.value.records.empty())
@@ -95,8 +121,18 @@
     return true;
 }
 
+void StoreThread::noteSuccess()
+{
+    failures_ = 0;
+    if (view_.exchange(Steering::StoreView::Answers) == Steering::StoreView::NotWatching)
+        Log::write(Events::watchBegun, Log::Fields().add("revision", feed_.revision()));
+    feed_.setStoreReachable(true, "answered");
+}
+
 void StoreThread::noteFailure(Platform::StoreOutcome outcome, const std::string& detail)
 {
+    if (worker_.isStopping())
+        return;
     ++failures_;
     if (failures_ < failuresUntilLost)
         return;
--- a/Libraries/LibEntry/StoreThread.h
+++ b/Libraries/LibEntry/StoreThread.h
@@ -6,6 +6,7 @@
 #include <LibEntry/StoreCounters.h>
 #include <LibEntry/Worker.h>
 #include <LibSteering/Process/LoadReport.h>
+#include <optional>
 #include <platform/StoreClient.h>
 
 namespace Entry {
@@ -34,6 +35,10 @@
     void rest();
     /// Whether the call succeeded.
     bool follow();
+    /// Reads the next page of everything; takes over the whole with the last one.
+    bool readNextPage();
+    bool watch();
+    void noteSuccess();
     void noteFailure(Platform::StoreOutcome, const std::string& detail);
 
     const EntrySettings& settings_;
@@ -45,6 +50,8 @@
     std::atomic<Steering::StoreView> view_ { Steering::StoreView::NotWatching };
     /// The store has forgotten the changes after the revision held.
     bool isHistoryGone_ { false };
+    /// The pages read so far. A refusal in the middle costs one call, not all of them again.
+    std::optional<Mirror::ChangeBatch> partial_;
     uint32_t failures_ { 0 };
     Worker worker_;
 };
--- a/Libraries/LibSteering/Process/PeerTopology.h
+++ b/Libraries/LibSteering/Process/PeerTopology.h
@@ -36,9 +36,11 @@
 
     /// Cells of the own failure domain; 1: it is not parted.
     uint64_t cellCount() const { return cellCount_; }
-    bool isOwnCell(BackendServerNumber number) const
+    /// Whether all that use the server report here, as far as the fabric allows: in a large domain, those of the own
+    /// cell; of other domains then nobody.
+    bool isLoadKnown(BackendServerNumber number, bool isOwnDomain) const
     {
-        return cellCount_ == 1 || Base::mix(number.value) % cellCount_ == cellOf(options_.self);
+        return cellCount_ == 1 || (isOwnDomain && Base::mix(number.value) % cellCount_ == cellOf(options_.self));
     }
 
     /// The order in which entry VMs of a failure domain follow the store: wide links first, since the others fetch
--- a/Libraries/LibSteering/Request/ServerChoice.cpp
+++ b/Libraries/LibSteering/Request/ServerChoice.cpp
@@ -62,7 +62,7 @@
     , reachability_(reachability)
     , allowance_(allowance)
     , ownDomain_(servers.domainIndex(options.failureDomain))
-    , isPreferred_(options.isPreferred)
+    , isLoadKnown_(options.isLoadKnown)
     , random_(options.seed)
 {
 }
@@ -86,8 +86,9 @@
 double ServerChoice::cost(const Server& server) const
 {
     const auto slots = static_cast<double>(std::max<uint32_t>(1, server.entry.slots));
-    const bool isKnown = !isPreferred_ || isPreferred_(server.entry.number);
-    return static_cast<double>(server.inProgress()) / slots + (server.domain == ownDomain_ ? 0 : otherDomainCost)
+    const bool isOwnDomain = server.domain == ownDomain_;
+    const bool isKnown = !isLoadKnown_ || isLoadKnown_(server.entry.number, isOwnDomain);
+    return static_cast<double>(server.inProgress()) / slots + (isOwnDomain ? 0 : otherDomainCost)
         + (isKnown ? 0 : unknownLoadCost);
 }
 
--- a/Libraries/LibSteering/Request/ServerChoice.h
+++ b/Libraries/LibSteering/Request/ServerChoice.h
@@ -34,8 +34,9 @@
     struct Options {
         std::string failureDomain;
         uint64_t seed { 1 };
-        /// Whether the server's load is known well, since all that use it report here; empty: always.
-        std::function<bool(BackendServerNumber)> isPreferred {};
+        /// Whether the server's load is known well, since all that use it report here. The second value tells whether
+        /// the server is in the own failure domain. Empty: always.
+        std::function<bool(BackendServerNumber, bool)> isLoadKnown {};
     };
 
     ServerChoice(const Options&, ServerTable&, DomainReachability&, WarmUpAllowance&);
@@ -64,7 +65,7 @@
     DomainReachability& reachability_;
     WarmUpAllowance& allowance_;
     DomainIndex ownDomain_;
-    std::function<bool(BackendServerNumber)> isPreferred_;
+    std::function<bool(BackendServerNumber, bool)> isLoadKnown_;
     std::unordered_set<DomainIndex> evacuated_;
     Base::Random random_;
 };
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -63,7 +63,8 @@
     , topology_({ .self = options.self, .failureDomain = options.failureDomain, .linkMegabits = options.linkMegabits })
     , choice_({ .failureDomain = options.failureDomain,
                   .seed = options.seed,
-                  .isPreferred = [this](BackendServerNumber number) { return topology_.isOwnCell(number); } },
+                  .isLoadKnown = [this](BackendServerNumber number,
+                                     bool isOwnDomain) { return topology_.isLoadKnown(number, isOwnDomain); } },
           servers_, reachability_, allowance_)
     , flows_({ .maximumFlows = options.maximumFlows })
     , handshakeTime_(firstHandshakeGuess)
--- a/Tests/LibSteering/TestPeerTopology.cpp
+++ b/Tests/LibSteering/TestPeerTopology.cpp
@@ -123,3 +123,28 @@
         CHECK(substitutes <= 16);
     }
 }
+
+TEST_CASE_METHOD(
+    SteeringFixture, "in a parted domain new flows go to the own cell's servers, then to the domain's, then elsewhere")
+{
+    configure();
+    for (uint32_t host = 2; host <= 200; ++host)
+        decider_.handle(now_, Steering::PeerListed { .peer = peer(host), .failureDomain = "brum" });
+    advance(milliseconds(300));
+    const auto& topology = decider_.topology();
+    REQUIRE(topology.cellCount() > 1);
+    uint64_t own = 1;
+    while (!topology.isLoadKnown(number(own), true))
+        ++own;
+    uint64_t other = 1;
+    while (topology.isLoadKnown(number(other), true))
+        ++other;
+    list(own);
+    list(other);
+    list(900'000, "notts");
+    CHECK(sendFirst(1).number == number(own));
+    CHECK(sendFirst(2).number == number(own));
+    // Two slots are taken: now the domain's other server is as good.
+    CHECK(sendFirst(3).number != number(900'000));
+    CHECK(sendFirst(4).number != number(900'000));
+}
