--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -11,6 +11,7 @@
     std::vector<double> handshakeBuckets()
     {
         std::vector<double> bounds;
+        bounds.reserve(Steering::handshakeBounds.size());
         for (const auto bound : Steering::handshakeBounds)
             bounds.push_back(Base::toSeconds(bound));
         return bounds;
@@ -78,6 +79,7 @@
 {
     const auto& steering = figures.steering;
     std::vector<double> increments;
+    increments.reserve(steering.handshakes.size());
     for (std::size_t bucket = 0; bucket < steering.handshakes.size(); ++bucket)
         increments.push_back(static_cast<double>(steering.handshakes[bucket] - lastSteering_.handshakes[bucket]));
     handshakes_.ObserveMultiple(increments, Base::toSeconds(steering.handshakeSum - lastSteering_.handshakeSum));
--- a/StandIns/LibFleet/LinkProxy.cpp
+++ b/StandIns/LibFleet/LinkProxy.cpp
@@ -71,7 +71,7 @@
     if (isInward ? fault_.cutsThere : fault_.cutsBack)
         return;
     std::vector<std::byte> bytes(buffer.begin(), buffer.begin() + count);
-    const auto forward = [this, pair, to, bytes = std::move(bytes), alive = alive_] {
+    const auto forward = [pair, to, bytes = std::move(bytes), alive = alive_] {
         if (!*alive || pair->outside < 0)
             return;
         std::size_t sent = 0;
--- a/Tests/LibSteering/TestPeerTopology.cpp
+++ b/Tests/LibSteering/TestPeerTopology.cpp
@@ -48,7 +48,7 @@
 
 /// Entry VMs of one domain that become watchers when they have heard of those who report to them.
 std::vector<uint32_t> watchersOf(
-    const std::vector<std::set<uint32_t>>& targets, const std::string& domain, std::set<uint32_t> dead)
+    const std::vector<std::set<uint32_t>>& targets, const std::string& domain, const std::set<uint32_t>& dead)
 {
     std::vector<uint32_t> watchers;
     for (uint32_t self = 0; self < targets.size(); ++self) {
