LibEntry: Notice a store that falls silent within the time a change has to be in force

A watch that began just before the store returned from silence was given up only after 5 s (4 s of its own and 1 s for the call), on every machine that followed the store; a version accepted 1.4 s after the return was not in force 3.2 s later.

Change: a watch waits for 2 s, and for 0.2 s after a failure.

--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -36,7 +36,7 @@
     struct Store {
         Base::Ipv4Endpoint endpoint;
         Base::milliseconds callTimeout { 1000 };
-        Base::milliseconds watchTime { 4000 };
+        Base::milliseconds watchTime { 2000 };
         Base::milliseconds leaseTime { 30'000 };
         std::size_t watchersPerDomain { 1 };
     } store;
--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -14,6 +14,7 @@
     /// Calls are priced also when they are refused; configuration has to be in force within seconds of a return.
     constexpr Base::milliseconds firstPause { 100 };
     constexpr Base::milliseconds longestPause { 800 };
+    constexpr Base::milliseconds waitAfterFailure { 200 };
     constexpr Base::milliseconds restTime { 5000 };
     constexpr Base::milliseconds gatherTime { 250 };
 
@@ -102,7 +103,9 @@
 
 bool StoreThread::watch()
 {
-    const auto answer = client_.watch(Platform::Names::keyPrefixAll, feed_.revision(), settings_.store.watchTime);
+    // After a failure, a call that the store holds back tells nothing for long.
+    const auto wait = failures_ > 0 ? waitAfterFailure : settings_.store.watchTime;
+    const auto answer = client_.watch(Platform::Names::keyPrefixAll, feed_.revision(), wait);
     counters_.count(StoreCall::Watch, answer.outcome);
     if (answer.outcome == Platform::StoreOutcome::HistoryGone) {
         Log::write(Events::historyGone, Log::Fields().add("revision", feed_.revision()));
