--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -76,29 +76,13 @@
     std::visit([&](const auto& typed) { apply(now, typed); }, event);
 }
 
-SteeringDecider::CompiledRoute SteeringDecider::compile(const Route& route)
-{
-    CompiledRoute compiled { .regions = route.regions };
-    for (const auto& share : route.shares) {
-        const auto profile = std::ranges::find(configuration_->services, share.service, &ServiceProfile::name);
-        const double rate = profile != configuration_->services.end() ? profile->warmUpRequestsPerSecond : 0;
-        const auto service = servers_.serviceIndex(share.service);
-        compiled.shares.push_back({ .service = service, .weight = share.weight, .warmUpRequestsPerSecond = rate });
-        compiled.services.push_back(service);
-        compiled.totalWeight += share.weight;
-    }
-    return compiled;
-}
-
 void SteeringDecider::apply(Base::TimePoint now, const ConfigurationChanged& event)
 {
     // Versions never go back within a process, whatever order the sources deliver them in.
     if (configuration_ && event.configuration->revision <= configuration_->revision)
         return;
     configuration_ = event.configuration;
-    routes_.clear();
-    for (const auto& route : configuration_->routes)
-        routes_[route.endpoint] = compile(route);
+    routes_.replace(*configuration_, servers_);
     noteCompleteness(now);
 }
 
@@ -182,24 +166,18 @@
 {
     if (!configuration_)
         return refuse(packet, Refusal::NotSynchronized, VerdictKind::Drop);
-    const auto route = routes_.find(packet.flow.service);
-    if (route == routes_.end())
+    const auto* route = routes_.find(packet.flow.service);
+    if (route == nullptr)
         return refuse(packet, Refusal::NoRoute, packet.opensFlow ? VerdictKind::Reset : VerdictKind::Drop);
-    return packet.opensFlow ? decideFirst(now, packet, route->second, bytes) : decideLater(now, packet, route->second);
+    return packet.opensFlow ? decideFirst(now, packet, *route, bytes) : decideLater(now, packet, *route);
 }
 
 std::optional<Choice> SteeringDecider::choose(
     Base::TimePoint now, const Packet::FlowKey& flow, const CompiledRoute& route, const FlowRecord& record)
 {
-    if (route.totalWeight == 0)
+    const auto* share = route.shareFor(flow);
+    if (share == nullptr)
         return std::nullopt;
-    // The flow's hash picks the share, so that copies of a first packet stay with one service.
-    auto point = flow.hash() % route.totalWeight;
-    const auto* share = route.shares.data();
-    while (point >= share->weight) {
-        point -= share->weight;
-        ++share;
-    }
     const auto isExcluded = [&](const Server& server) {
         if (record.wasOfferedTo(server.entry.number))
             return true;
@@ -420,11 +398,11 @@
     auto* record = flows_.find(pending.flow);
     const bool isOpening = record != nullptr && record->state == FlowState::Opening
         && record->firstSequence == pending.sequence && record->offerCount < maximumOffers;
-    const auto route = routes_.find(pending.flow.service);
-    if (!isOpening || route == routes_.end())
+    const auto* route = routes_.find(pending.flow.service);
+    if (!isOpening || route == nullptr)
         return std::nullopt;
     noteSilence(now, *record);
-    const auto choice = choose(now, pending.flow, route->second, *record);
+    const auto choice = choose(now, pending.flow, *route, *record);
     // Only a sound server is worth a further offer; else the caller's own copy comes soon enough.
     if (!choice || choice->tier != ChoiceTier::Sound)
         return std::nullopt;
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -13,6 +13,7 @@
 #include <LibSteering/Process/ServerTable.h>
 #include <LibSteering/Process/WarmUpAllowance.h>
 #include <LibSteering/Request/ServerChoice.h>
+#include <LibSteering/Version/RouteTable.h>
 #include <array>
 #include <deque>
 #include <functional>
@@ -123,18 +124,7 @@
     std::size_t serverCount() const { return servers_.size(); }
 
 private:
-    struct CompiledShare {
-        ServiceIndex service { 0 };
-        uint32_t weight { 1 };
-        double warmUpRequestsPerSecond { 0 };
-    };
-
-    struct CompiledRoute {
-        std::vector<CompiledShare> shares;
-        std::vector<ServiceIndex> services;
-        uint64_t totalWeight { 0 };
-        std::vector<std::string> regions;
-    };
+    using CompiledRoute = RouteTable::CompiledRoute;
 
     struct PendingOffer {
         Packet::FlowKey flow;
@@ -153,7 +143,6 @@
     void apply(Base::TimePoint now, const PeerUnlisted&);
     void apply(Base::TimePoint now, const BeliefsSynchronized&);
     void apply(Base::TimePoint now, const StoreReachable&);
-    CompiledRoute compile(const Route&);
     void noteCompleteness(Base::TimePoint now);
 
     Verdict decideFirst(Base::TimePoint now, const PacketView&, const CompiledRoute&, std::span<const std::byte> bytes);
@@ -186,7 +175,7 @@
     Readiness readiness_;
     bool isSynchronized_ { false };
     std::shared_ptr<const Configuration> configuration_;
-    boost::unordered_flat_map<Base::Ipv4Endpoint, CompiledRoute, std::hash<Base::Ipv4Endpoint>> routes_;
+    RouteTable routes_;
     std::vector<Base::EntryVmId> peerIds_;
     std::deque<PendingOffer> pendingOffers_;
     /// Smoothed time from a first packet to the handshake's end.
