--- a/Meta/eelgrasshatch.sh
+++ b/Meta/eelgrasshatch.sh
@@ -12,6 +12,7 @@
 
   setup            install the Debian packages the project needs
   build            configure and build everything
+  deploy-build     build only what runs on the users' platform, as deploy/system.toml does, into BUILD/deploy
   test             set-up, build, then all tests
   demo [NAME]      set-up, build, then the main job (midshires or kiprono; --json for machines)
   measure NAME     print FIGURE lines of one measurement (--seed N; "measure list" names them all)
@@ -28,6 +29,7 @@
     case "$1" in
         setup) echo "setup: installs the packages of Meta/packages.txt that are missing. Needs apt-get and root." ;;
         build) echo "build: CMake and Ninja into Build/ (EELGRASSHATCH_BUILD overrides), programs in Build/bin." ;;
+        deploy-build) echo "deploy-build: the platform's build in a folder of its own; fails if it needs more than it lists." ;;
         test) echo "test [CTEST ARGUMENTS]: runs ctest; KNOWN-RED.txt entries are reported apart." ;;
         demo) echo "demo [midshires|kiprono] [--json]: runs the main job; exit 1 if an invariant broke." ;;
         measure) echo "measure NAME [--seed N] [--plot DIR]: FIGURE <name> <value> <unit>, one a line; unknown name: exit 2." ;;
@@ -60,6 +62,12 @@
     cmake --build "$BUILD" -j "$JOBS" "$@"
 }
 
+do_deploy_build() {
+    # The same options as in deploy/system.toml.
+    cmake -S "$ROOT" -B "$BUILD/deploy" -DCMAKE_BUILD_TYPE=Release -DEELGRASSHATCH_ENTRY_VM_ONLY=ON >/dev/null
+    cmake --build "$BUILD/deploy" -j "$JOBS" --target entryd
+}
+
 do_test() {
     do_setup
     do_build
@@ -114,6 +122,7 @@
         fi
     done
     case "$command" in
+        deploy-build) do_deploy_build ;;
         setup | build | test | demo | measure | soak | format | lint | reference) "do_$command" "$@" ;;
         generate) "$ROOT/Meta/generate.sh" "$@" ;;
         help | --help | -h) if [ $# -gt 0 ]; then command_help "$1"; else usage; fi ;;
