LibHttp, LibMetrics: Serve metrics beside readiness, without a server of their own in entryd

Cause: the metrics' own HTTP server brought four libraries and three threads to a daemon that must start and stop fast, and took up to a second to end. Change: one thread answers both; the other daemons keep the server.

Tests: the server with several endpoints, large answers and strangers; interrupted and refused calls.

--- a/Libraries/LibBalancer/Balancer.h
+++ b/Libraries/LibBalancer/Balancer.h
@@ -2,6 +2,7 @@
 
 #include <LibBalancer/BalancerMetrics.h>
 #include <LibBalancer/ControlThread.h>
+#include <LibMetrics/ServedRegistry.h>
 #include <LibProgram/Signals.h>
 #include <thread>
 
@@ -29,7 +30,7 @@
 
     const BalancerSettings& settings_;
     SharedState shared_;
-    Metrics::Registry registry_;
+    Metrics::ServedRegistry registry_;
     std::unique_ptr<ControlThread> control_;
     std::unique_ptr<DataPath::DataPath> path_;
     std::unique_ptr<BalancerMetrics> metrics_;
--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -9,11 +9,12 @@
 
 namespace {
 
-    constexpr uint32_t statusReady = 200;
-    constexpr uint32_t statusNotReady = 503;
+    constexpr std::string_view metricsPath = "/metrics";
+    constexpr uint32_t statusOk = 200;
+    constexpr uint32_t statusUnavailable = 503;
     constexpr uint32_t statusNotFound = 404;
 
-    constexpr Base::milliseconds readinessPollTime { 200 };
+    constexpr Base::milliseconds questionPollTime { 200 };
     constexpr Base::milliseconds metricsInterval { 1000 };
     constexpr Base::milliseconds leaveCheckInterval { 50 };
     /// For the threads to end: the longest call to the store, and a little.
@@ -33,15 +34,10 @@
     daemon->packets_ = std::move(packets);
     TRY_ASSIGN(relay, RelayThread::create(settings, daemon->feed_));
     daemon->relay_ = std::move(relay);
-    TRY_ASSIGN(readiness,
-        Http::StatusServer::create(
-            { .listen = settings.readiness, .onGet = [packets = daemon->packets_.get()](std::string_view path) {
-                 if (path != Platform::Names::readinessPath)
-                     return statusNotFound;
-                 return packets->isReady() ? statusReady : statusNotReady;
-             } }));
-    daemon->readiness_ = std::move(readiness);
-    TRY(daemon->metrics_.serve(settings.metrics));
+    TRY_ASSIGN(questions,
+        Http::StatusServer::create({ .listen = { settings.readiness, settings.metrics },
+            .onGet = [daemon = daemon.get()](std::string_view path) { return daemon->answer(path); } }));
+    daemon->questions_ = std::move(questions);
     return daemon;
 }
 
@@ -54,6 +50,15 @@
 {
 }
 
+Http::Response EntryDaemon::answer(std::string_view path) const
+{
+    if (path == Platform::Names::readinessPath)
+        return { .status = packets_->isReady() ? statusOk : statusUnavailable };
+    if (path == metricsPath)
+        return { .status = statusOk, .body = metrics_.text() };
+    return { .status = statusNotFound };
+}
+
 Base::ErrorOr<void> EntryDaemon::reload(const std::string& file)
 {
     TRY_ASSIGN(changed, readSettings(file));
@@ -76,9 +81,9 @@
     catchUp_.start();
     relay_->start();
     registration_.start();
-    readinessWorker_.start([this] {
-        while (!readinessWorker_.isStopping())
-            readiness_->poll(readinessPollTime);
+    questionWorker_.start([this] {
+        while (!questionWorker_.isStopping())
+            questions_->poll(questionPollTime);
     });
 }
 
@@ -99,8 +104,7 @@
     Log::write(Events::leaving);
     packets_->beginStop();
     packets_->wake();
-    // What takes a while to end does so while packets are still forwarded.
-    metrics_.stop();
+    // The call to the store is made while packets are still forwarded.
     registration_.stop();
     for (;;) {
         signals.waitForStop(leaveCheckInterval);
@@ -118,11 +122,11 @@
 {
     catchUp_.askToStop();
     relay_->askToStop();
-    readinessWorker_.askToStop();
+    questionWorker_.askToStop();
     store_.stop();
     catchUp_.stop();
     relay_->stop();
-    readinessWorker_.stop();
+    questionWorker_.stop();
     // Packets are forwarded until nothing else is left to do.
     packets_->stop();
 }
--- a/Libraries/LibEntry/EntryDaemon.h
+++ b/Libraries/LibEntry/EntryDaemon.h
@@ -25,6 +25,7 @@
 private:
     explicit EntryDaemon(const EntrySettings&);
 
+    Http::Response answer(std::string_view path) const;
     void start();
     void leave(Program::Signals&);
     void stopThreads();
@@ -38,8 +39,9 @@
     EntryMetrics metrics_;
     std::unique_ptr<PacketThread> packets_;
     std::unique_ptr<RelayThread> relay_;
-    std::unique_ptr<Http::StatusServer> readiness_;
-    Worker readinessWorker_;
+    /// Answers the fabric's checks and Prometheus.
+    std::unique_ptr<Http::StatusServer> questions_;
+    Worker questionWorker_;
 };
 
 }
--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -69,12 +69,6 @@
     }
 }
 
-Base::ErrorOr<void> EntryMetrics::serve(const Base::Ipv4Endpoint& endpoint)
-{
-    TRY(registry_.serve(endpoint));
-    return {};
-}
-
 void EntryMetrics::update(const PacketFigures& figures, const StoreCounters& store, const BeliefFeed& feed)
 {
     const auto& steering = figures.steering;
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -6,15 +6,13 @@
 
 namespace Entry {
 
-/// Serves the figures of entryd to Prometheus.
+/// The figures of entryd, for Prometheus.
 class EntryMetrics {
 public:
     EntryMetrics();
 
-    /// Unavailable when the endpoint cannot be bound.
-    Base::ErrorOr<void> serve(const Base::Ipv4Endpoint&);
-    /// Ends serving; takes up to a second.
-    void stop() { registry_.stop(); }
+    /// Everything, in the text format that Prometheus reads. Any thread.
+    std::string text() const { return registry_.text(); }
     /// Takes over the figures of the other threads.
     void update(const PacketFigures&, const StoreCounters&, const BeliefFeed&);
 
--- a/Libraries/LibEntry/StoreCounters.h
+++ b/Libraries/LibEntry/StoreCounters.h
@@ -28,19 +28,16 @@
 public:
     void count(StoreCall call, Platform::StoreOutcome outcome)
     {
-        at(call, outcome).fetch_add(1, std::memory_order_relaxed);
+        totals_[static_cast<std::size_t>(call)][static_cast<std::size_t>(outcome)].fetch_add(
+            1, std::memory_order_relaxed);
     }
     uint64_t total(StoreCall call, Platform::StoreOutcome outcome) const
     {
-        return const_cast<StoreCounters*>(this)->at(call, outcome).load(std::memory_order_relaxed);
+        return totals_[static_cast<std::size_t>(call)][static_cast<std::size_t>(outcome)].load(
+            std::memory_order_relaxed);
     }
 
 private:
-    std::atomic<uint64_t>& at(StoreCall call, Platform::StoreOutcome outcome)
-    {
-        return totals_[static_cast<std::size_t>(call)][static_cast<std::size_t>(outcome)];
-    }
-
     std::array<std::array<std::atomic<uint64_t>, Platform::storeOutcomeCount>, storeCallCount> totals_ {};
 };
 
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -5,30 +5,11 @@
 #include <LibBase/Error.h>
 #include <LibBase/Ipv4Endpoint.h>
 #include <LibBase/Time.h>
-#include <cstdint>
+#include <LibHttp/Message.h>
 #include <string>
 
 namespace Http {
 
-enum class Method : uint8_t {
-    Get,
-    Post,
-    Delete,
-};
-
-struct Request {
-    Method method { Method::Get };
-    /// Path and query, already encoded.
-    std::string target;
-    /// JSON; empty: no body.
-    std::string body;
-};
-
-struct Response {
-    uint32_t status { 0 };
-    std::string body;
-};
-
 class HttpClient {
 public:
     struct Options {
--- a/Libraries/LibHttp/StatusServer.cpp
+++ b/Libraries/LibHttp/StatusServer.cpp
@@ -20,28 +20,52 @@
     constexpr std::size_t maximumConnections = 64;
     /// A question has no body and few headers.
     constexpr std::size_t maximumRequestBytes = 8192;
+    /// Some kilobytes fit into a socket's buffer; a reader that takes none of them for this long is given up.
+    constexpr Base::milliseconds longestWrite { 100 };
 
-    std::string answerTo(const beast::request<beast::empty_body>& request, uint32_t status)
+    std::string answerTo(const beast::request<beast::empty_body>& request, const Response& response)
     {
-        beast::response<beast::empty_body> answer(static_cast<beast::status>(status), request.version());
+        beast::response<beast::string_body> answer(static_cast<beast::status>(response.status), request.version());
         answer.keep_alive(request.keep_alive());
-        answer.content_length(0);
+        if (!response.body.empty())
+            answer.set(beast::field::content_type, "text/plain; version=0.0.4");
+        answer.body() = response.body;
+        answer.prepare_payload();
         std::ostringstream text;
         text << answer;
         return text.str();
     }
 
+    /// Sends all of it; false when the reader does not keep up.
+    bool sendAll(int socket, std::string_view bytes)
+    {
+        while (!bytes.empty()) {
+            const auto sent = ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sent > 0) {
+                bytes.remove_prefix(static_cast<std::size_t>(sent));
+                continue;
+            }
+            pollfd entry { .fd = socket, .events = POLLOUT, .revents = 0 };
+            if (errno != EAGAIN || ::poll(&entry, 1, static_cast<int>(longestWrite.count())) <= 0)
+                return false;
+        }
+        return true;
+    }
+
 }
 
 Base::ErrorOr<std::unique_ptr<StatusServer>> StatusServer::create(Options options)
 {
-    TRY_ASSIGN(listener, Peer::listenTcp(options.listen));
-    return std::unique_ptr<StatusServer>(new StatusServer(std::move(options), listener));
+    std::unique_ptr<StatusServer> server(new StatusServer(std::move(options)));
+    for (const auto& endpoint : server->options_.listen) {
+        TRY_ASSIGN(listener, Peer::listenTcp(endpoint));
+        server->listeners_.push_back(listener);
+    }
+    return server;
 }
 
-StatusServer::StatusServer(Options options, int listener)
+StatusServer::StatusServer(Options options)
     : options_(std::move(options))
-    , listener_(listener)
 {
 }
 
@@ -49,15 +73,14 @@
 {
     for (const auto& [socket, received] : connections_)
         ::close(socket);
-    ::close(listener_);
+    for (const int listener : listeners_)
+        ::close(listener);
 }
 
-Base::Ipv4Endpoint StatusServer::endpoint() const { return Peer::localEndpoint(listener_); }
-
-void StatusServer::accept()
+void StatusServer::accept(int listener)
 {
     for (;;) {
-        const int socket = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int socket = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (socket < 0)
             return;
         if (connections_.size() >= maximumConnections) {
@@ -87,10 +110,8 @@
         received.erase(0, used);
         const auto& request = parser.get();
         const auto path = std::string_view(request.target().data(), request.target().size());
-        const uint32_t status = request.method() == beast::verb::get ? options_.onGet(path) : 405;
-        const auto answer = answerTo(request, status);
-        const auto sent = ::send(socket, answer.data(), answer.size(), MSG_NOSIGNAL);
-        if (sent != static_cast<ssize_t>(answer.size()) || !request.keep_alive())
+        const auto response = request.method() == beast::verb::get ? options_.onGet(path) : Response { .status = 405 };
+        if (!sendAll(socket, answerTo(request, response)) || !request.keep_alive())
             return false;
     }
     return true;
@@ -98,20 +119,25 @@
 
 void StatusServer::poll(Base::milliseconds atMost)
 {
-    std::vector<pollfd> entries { { .fd = listener_, .events = POLLIN, .revents = 0 } };
+    std::vector<pollfd> entries;
+    entries.reserve(listeners_.size() + connections_.size());
+    for (const int listener : listeners_)
+        entries.push_back({ .fd = listener, .events = POLLIN, .revents = 0 });
     for (const auto& [socket, received] : connections_)
         entries.push_back({ .fd = socket, .events = POLLIN, .revents = 0 });
     if (::poll(entries.data(), entries.size(), static_cast<int>(atMost.count())) <= 0)
         return;
-    for (std::size_t index = 1; index < entries.size(); ++index) {
+    for (std::size_t index = 0; index < entries.size(); ++index) {
         const int socket = entries[index].fd;
-        if (entries[index].revents == 0 || serve(socket, connections_[socket]))
+        if (entries[index].revents == 0)
             continue;
-        connections_.erase(socket);
-        ::close(socket);
+        if (index < listeners_.size()) {
+            accept(socket);
+        } else if (!serve(socket, connections_[socket])) {
+            connections_.erase(socket);
+            ::close(socket);
+        }
     }
-    if (entries[0].revents != 0)
-        accept();
 }
 
 }
--- a/Libraries/LibMetrics/Registry.cpp
+++ b/Libraries/LibMetrics/Registry.cpp
@@ -1,6 +1,6 @@
 #include <LibMetrics/Registry.h>
 
-#include <exception>
+#include <prometheus/text_serializer.h>
 
 namespace Metrics {
 
@@ -25,21 +25,7 @@
     return prometheus::BuildHistogram().Name(name).Help(help).Register(*registry_).Add(labels, upperBounds);
 }
 
-Base::ErrorOr<Base::Ipv4Endpoint> Registry::serve(const Base::Ipv4Endpoint& endpoint)
-{
-    try {
-        exposer_ = std::make_unique<prometheus::Exposer>(endpoint.toString(), 1);
-        exposer_->RegisterCollectable(registry_);
-        const auto ports = exposer_->GetListeningPorts();
-        auto bound = endpoint;
-        if (!ports.empty())
-            bound.port = static_cast<uint16_t>(ports.front());
-        return bound;
-    } catch (const std::exception& exception) {
-        return Base::makeError(
-            Base::ErrorCode::Unavailable, "metrics endpoint " + endpoint.toString() + ": " + exception.what());
-    }
-}
+std::string Registry::text() const { return prometheus::TextSerializer().Serialize(registry_->Collect()); }
 
 void raiseTo(prometheus::Counter& counter, double total)
 {
--- a/Libraries/LibMetrics/Registry.h
+++ b/Libraries/LibMetrics/Registry.h
@@ -1,13 +1,10 @@
 #pragma once
 
-/// The metrics of one process: a Prometheus registry, and the endpoint that serves it over HTTP at /metrics.
+/// The metrics of one process: a Prometheus registry.
 
-#include <LibBase/Error.h>
-#include <LibBase/Ipv4Endpoint.h>
 #include <map>
 #include <memory>
 #include <prometheus/counter.h>
-#include <prometheus/exposer.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -32,18 +29,18 @@
     prometheus::Histogram& histogram(
         const std::string& name, const std::string& help, const std::vector<double>& upperBounds, const Labels& = {});
 
-    /// Serves the registry. Port 0: the kernel chooses. Unavailable when the endpoint cannot be bound.
-    Base::ErrorOr<Base::Ipv4Endpoint> serve(const Base::Ipv4Endpoint&);
-
-    /// Ends serving; takes up to a second.
-    void stop() { exposer_.reset(); }
+    /// Everything, in the text format that Prometheus reads.
+    std::string text() const;
 
     /// The registry, for tests.
     prometheus::Registry& registry() { return *registry_; }
 
+protected:
+    /// For whoever serves it.
+    const std::shared_ptr<prometheus::Registry>& shared() const { return registry_; }
+
 private:
     std::shared_ptr<prometheus::Registry> registry_;
-    std::unique_ptr<prometheus::Exposer> exposer_;
 };
 
 /// Raises a counter to a total that another object counts. Totals never fall.
--- a/Libraries/LibProber/Prober.h
+++ b/Libraries/LibProber/Prober.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBase/Ring.h>
-#include <LibMetrics/Registry.h>
+#include <LibMetrics/ServedRegistry.h>
 #include <LibPeer/QueryClient.h>
 #include <LibProber/ProbeFetcher.h>
 #include <LibProber/ProbeSchedule.h>
@@ -40,7 +40,7 @@
     void noteLostReports();
 
     const ProberSettings& settings_;
-    Metrics::Registry registry_;
+    Metrics::ServedRegistry registry_;
     std::array<prometheus::Counter*, probeOutcomeCount> outcomes_ {};
     prometheus::Counter& lostReports_;
     prometheus::Gauge& targetGauge_;
--- a/Services/OperatorEndpoint/Main.cpp
+++ b/Services/OperatorEndpoint/Main.cpp
@@ -2,6 +2,7 @@
 
 #include "EndpointMetrics.h"
 #include "EndpointSettings.h"
+#include <LibMetrics/ServedRegistry.h>
 #include <LibOperator/Events.h>
 #include <LibPeer/QueryClient.h>
 #include <LibProgram/Program.h>
@@ -45,7 +46,7 @@
 
 Base::ErrorOr<int> run(const EndpointSettings& settings, Program::Signals& signals)
 {
-    Metrics::Registry registry;
+    Metrics::ServedRegistry registry;
     EndpointMetrics metrics(registry);
     TRY_ASSIGN(metricsEndpoint, registry.serve(settings.metricsEndpoint));
     Program::announceListening("metrics", metricsEndpoint);
--- /dev/null
+++ b/Tests/LibEntry/TestStatusServer.cpp
@@ -0,0 +1,78 @@
+#include <LibHttp/HttpClient.h>
+#include <LibHttp/StatusServer.h>
+#include <LibPeer/Sockets.h>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace {
+
+/// A free endpoint of the loopback interface.
+Base::Ipv4Endpoint freeEndpoint()
+{
+    const int socket = Peer::listenTcp({ .address = { 0x7F000001 }, .port = 0 }).value();
+    const auto endpoint = Peer::localEndpoint(socket);
+    ::close(socket);
+    return endpoint;
+}
+
+constexpr Base::milliseconds patience { 5000 };
+
+}
+
+TEST_CASE("questions are answered on each endpoint, over kept connections, whatever strangers send")
+{
+    const auto first = freeEndpoint();
+    const auto second = freeEndpoint();
+    const std::string large(100'000, 'x');
+    const auto server = Http::StatusServer::create({ .listen = { first, second }, .onGet = [&](std::string_view path) {
+                                                        if (path == "/large")
+                                                            return Http::Response { .status = 200, .body = large };
+                                                        return Http::Response { .status = 503 };
+                                                    } });
+    REQUIRE(server);
+    std::atomic<bool> stopping { false };
+    std::thread thread([&] {
+        while (!stopping.load())
+            (*server)->poll(Base::milliseconds(20));
+    });
+    const int stranger = Peer::startConnecting(first).value();
+    ::usleep(1000);
+    [[maybe_unused]] const auto sent = ::send(stranger, "\x16\x03\x01 this is no HTTP\r\n\r\n", 24, MSG_NOSIGNAL);
+    for (const auto& endpoint : { first, second }) {
+        Http::HttpClient client({ .server = endpoint, .connectTimeout = patience });
+        for (int round = 0; round < 3; ++round) {
+            const auto small = Base::capture([&] { return client.call({ .target = "/ready" }, patience); });
+            REQUIRE(small.isOk());
+            CHECK(small.value->status == 503);
+            CHECK(small.value->body.empty());
+            const auto whole = Base::capture([&] { return client.call({ .target = "/large" }, patience); });
+            REQUIRE(whole.isOk());
+            CHECK(whole.value->body == large);
+        }
+        const auto post = Base::capture(
+            [&] { return client.call({ .method = Http::Method::Post, .target = "/ready", .body = {} }, patience); });
+        REQUIRE(post.isOk());
+        CHECK(post.value->status == 405);
+    }
+    stopping.store(true);
+    thread.join();
+    ::close(stranger);
+}
+
+TEST_CASE("a call ends at once when it is interrupted, and fails where nobody listens")
+{
+    const int silent = Peer::listenTcp({ .address = { 0x7F000001 }, .port = 0 }).value();
+    Http::HttpClient client({ .server = Peer::localEndpoint(silent), .connectTimeout = patience });
+    std::thread thread([&] { client.interrupt(); });
+    const auto interrupted = Base::capture([&] { return client.call({ .target = "/" }, Base::seconds(600)); });
+    thread.join();
+    CHECK_FALSE(interrupted.isOk());
+    ::close(silent);
+    Http::HttpClient nobody({ .server = freeEndpoint(), .connectTimeout = patience });
+    const auto refused = Base::capture([&] { return nobody.call({ .target = "/" }, patience); });
+    REQUIRE_FALSE(refused.isOk());
+    CHECK(refused.error.code == Base::ErrorCode::Unavailable);
+}
