--- a/Libraries/LibMirror/RelayMessage.cpp
+++ b/Libraries/LibMirror/RelayMessage.cpp
@@ -1,6 +1,7 @@
 #include <LibMirror/RelayMessage.h>
 
 #include <LibMirror/Compression.h>
+#include <LibPacket/ByteOrder.h>
 #include <LibPeer/MsgpackReader.h>
 #include <nlohmann/json.hpp>
 
@@ -13,19 +14,31 @@
 
     constexpr std::size_t batchFields = 5;
     constexpr std::size_t recordFields = 4;
+    /// Length of the head, in network order.
+    constexpr std::size_t lengthBytes = 4;
     /// The whole state of 28,000 backend servers is about 10 MB.
     constexpr std::size_t maximumBatchBytes = std::size_t { 64 } * 1024 * 1024;
 
-    Base::ErrorOr<Record> decodeRecord(const Json& row)
+    /// Takes the next bytes of the values that follow the head.
+    Base::ErrorOr<std::string> takeValue(std::span<const std::byte>& values, uint64_t length)
+    {
+        if (length > values.size())
+            return Base::makeError(ErrorCode::Malformed, "a value is cut off");
+        std::string value(reinterpret_cast<const char*>(values.data()), length);
+        values = values.subspan(length);
+        return value;
+    }
+
+    Base::ErrorOr<Record> decodeRecord(const Json& row, std::span<const std::byte>& values)
     {
         const bool isRecord = row.is_array() && row.size() == recordFields && row[0].is_string()
-            && row[1].is_number_unsigned() && row[2].is_boolean() && row[3].is_binary();
+            && row[1].is_number_unsigned() && row[2].is_boolean() && row[3].is_number_unsigned();
         if (!isRecord)
-            return Base::makeError(ErrorCode::Malformed, "expected [key, revision, deletion, value]");
-        const auto& bytes = row[3].get_binary();
+            return Base::makeError(ErrorCode::Malformed, "expected [key, revision, deletion, length]");
+        TRY_ASSIGN(value, takeValue(values, row[3].get<uint64_t>()));
         return Record { .key = row[0].get<std::string>(),
             .revision = row[1].get<uint64_t>(),
-            .value = std::string(bytes.begin(), bytes.end()),
+            .value = std::move(value),
             .isDeletion = row[2].get<bool>() };
     }
 
@@ -47,18 +60,34 @@
 std::vector<std::byte> encodeBatch(const ChangeBatch& batch)
 {
     auto rows = Json::array();
+    std::size_t valueBytes = 0;
+    for (const auto& record : batch.records) {
+        rows.push_back(Json::array({ record.key, record.revision, record.isDeletion, record.value.size() }));
+        valueBytes += record.value.size();
+    }
+    const auto head = Peer::writeMsgpack(
+        Json::array({ batch.after, batch.upTo, batch.isComplete, batch.hasMore, std::move(rows) }));
+    // Values follow the head as they are, since a configuration has hundreds of kilobytes.
+    std::vector<std::byte> content(lengthBytes);
+    content.reserve(lengthBytes + head.size() + valueBytes);
+    Packet::store32(content.data(), static_cast<uint32_t>(head.size()));
+    content.insert(content.end(), head.begin(), head.end());
     for (const auto& record : batch.records) {
-        auto bytes = Json::binary(std::vector<uint8_t>(record.value.begin(), record.value.end()));
-        rows.push_back(Json::array({ record.key, record.revision, record.isDeletion, std::move(bytes) }));
+        const auto value = std::as_bytes(std::span(record.value));
+        content.insert(content.end(), value.begin(), value.end());
     }
-    return compress(
-        Peer::writeMsgpack(Json::array({ batch.after, batch.upTo, batch.isComplete, batch.hasMore, std::move(rows) })));
+    return compress(content);
 }
 
 Base::ErrorOr<ChangeBatch> decodeBatch(std::span<const std::byte> bytes)
 {
     TRY_ASSIGN(content, decompress(bytes, maximumBatchBytes));
-    TRY_ASSIGN(value, Peer::readMsgpack(content));
+    const std::span<const std::byte> whole(content);
+    if (whole.size() < lengthBytes || Packet::load32(whole.data()) > whole.size() - lengthBytes)
+        return Base::makeError(ErrorCode::Malformed, "expected a head and its length");
+    const auto headBytes = Packet::load32(whole.data());
+    auto values = whole.subspan(lengthBytes + headBytes);
+    TRY_ASSIGN(value, Peer::readMsgpack(whole.subspan(lengthBytes, headBytes)));
     const bool isBatch = value.is_array() && value.size() == batchFields && value[0].is_number_unsigned()
         && value[1].is_number_unsigned() && value[2].is_boolean() && value[3].is_boolean() && value[4].is_array();
     if (!isBatch)
@@ -68,11 +97,13 @@
         .isComplete = value[2].get<bool>(),
         .hasMore = value[3].get<bool>() };
     for (const auto& row : value[4]) {
-        TRY_ASSIGN(record, decodeRecord(row));
+        TRY_ASSIGN(record, decodeRecord(row, values));
         if (!batch.isComplete && record.revision <= batch.after)
             return Base::makeError(ErrorCode::Malformed, "a record is older than its batch");
         batch.records.push_back(std::move(record));
     }
+    if (!values.empty())
+        return Base::makeError(ErrorCode::Malformed, "bytes after the last value");
     return batch;
 }
 
--- a/Libraries/LibMirror/RelayMessage.h
+++ b/Libraries/LibMirror/RelayMessage.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// What entry VMs ask each other about the store's records, in msgpack.
+/// What entry VMs ask each other about the store's records: msgpack, with the records' values behind it.
 
 #include <LibBase/Error.h>
 #include <LibMirror/Record.h>
