LibEntry, LibLog: Register again at once, discard what waited, count lost lines

Causes, each found by a test on the stand-in platform that failed first: - The store can take an entry VM's record and leave its lease. Renewals succeed, so that it stayed unlisted for good: peers ignored its load reports and told it nothing. Beliefs are taken 256 at a time, so that a start with thousands of backend servers does not hold up packets.

--- a/Libraries/LibEntry/BeliefFeed.cpp
+++ b/Libraries/LibEntry/BeliefFeed.cpp
@@ -107,6 +107,9 @@
     if (!*event.value)
         return;
     std::visit([&](const auto& typed) { logEvent(typed, source); }, **event.value);
+    const auto* unlisted = std::get_if<Steering::PeerUnlisted>(&**event.value);
+    if (unlisted != nullptr && unlisted->peer == options_.self && options_.onUnlisted)
+        options_.onUnlisted();
     push(**event.value);
 }
 
--- a/Libraries/LibEntry/BeliefFeed.h
+++ b/Libraries/LibEntry/BeliefFeed.h
@@ -18,6 +18,9 @@
     struct Options {
         /// Called after events were added to the ring.
         std::function<void()> wake;
+        Base::EntryVmId self;
+        /// Called when this entry VM's own record is gone from the store. Any thread; may be empty.
+        std::function<void()> onUnlisted;
     };
 
     explicit BeliefFeed(Options);
--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -43,7 +43,9 @@
 
 EntryDaemon::EntryDaemon(const EntrySettings& settings)
     : settings_(settings)
-    , feed_({ .wake = [this] { packets_->wake(); } })
+    , feed_({ .wake = [this] { packets_->wake(); },
+          .self = settings.identity(),
+          .onUnlisted = [this] { registration_.noteUnlisted(); } })
     , catchUp_(settings, feed_)
     , store_(settings, feed_, storeCounters_)
     , registration_(settings, storeCounters_)
--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -33,6 +33,8 @@
     , shortAnswers_(registry_.counter("eelgrasshatch_short_answers_total",
           "Answers that look like failures by their length and hold their backend server back."))
     , malformed_(registry_.counter("eelgrasshatch_packets_malformed_total", "Datagrams that are no packet."))
+    , discarded_(registry_.counter(
+          "eelgrasshatch_packets_discarded_total", "Packets that waited while the process did not run."))
     , sendFailures_(registry_.counter("eelgrasshatch_send_failures_total", "Datagrams the kernel did not take."))
     , reportsSent_(registry_.counter("eelgrasshatch_load_reports_sent_total", "Load reports to peers."))
     , reportsIgnored_(registry_.counter("eelgrasshatch_load_reports_ignored_total",
@@ -89,6 +91,7 @@
     raiseTo(resets_, static_cast<double>(steering.resets));
     raiseTo(shortAnswers_, static_cast<double>(steering.shortAnswers));
     raiseTo(malformed_, static_cast<double>(figures.malformed));
+    raiseTo(discarded_, static_cast<double>(figures.discarded));
     raiseTo(sendFailures_, static_cast<double>(figures.sendFailures));
     raiseTo(reportsSent_, static_cast<double>(figures.reportsSent));
     raiseTo(reportsIgnored_, static_cast<double>(figures.reportsIgnored));
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -32,6 +32,7 @@
     prometheus::Counter& resets_;
     prometheus::Counter& shortAnswers_;
     prometheus::Counter& malformed_;
+    prometheus::Counter& discarded_;
     prometheus::Counter& sendFailures_;
     prometheus::Counter& reportsSent_;
     prometheus::Counter& reportsIgnored_;
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -33,8 +33,11 @@
     constexpr Base::milliseconds longestRound { 5 };
     /// The longest time the thread sleeps without a timer of its own.
     constexpr Base::milliseconds longestSleep { 100 };
-    /// A loop that takes longer was not only busy: the process did not run.
+    /// A loop that takes longer was not only busy: the process did not run. Callers have given up on first packets and
+    /// repeated all others by then.
     constexpr Base::milliseconds pauseThreshold { 1500 };
+    /// A start lists thousands of backend servers; packets wait for this many at a time.
+    constexpr int beliefsInRow = 256;
 
     uint64_t startSequence()
     {
@@ -160,9 +163,13 @@
     const Base::TimePoint now { Base::seconds(time.tv_sec) + Base::nanoseconds(time.tv_nsec) };
     const auto gap = now - lastLoop_;
     if (lastLoop_ != Base::TimePoint {} && gap > pauseThreshold) {
+        // What waited meanwhile would open flows and run requests whose callers have gone.
+        const auto discarded = discardWaiting();
+        figures_.discarded += discarded;
         Log::write(Events::processPaused,
             Log::Fields()
                 .add("milliseconds", std::chrono::duration_cast<Base::milliseconds>(gap).count())
+                .add("discarded", discarded)
                 .add("revision", feed_.revision()));
     }
     lastLoop_ = now;
@@ -171,7 +178,7 @@
 void PacketThread::takeBeliefs(Base::TimePoint now)
 {
     Steering::BeliefEvent event;
-    while (feed_.tryPop(event))
+    for (int taken = 0; taken < beliefsInRow && feed_.tryPop(event); ++taken)
         decider_.handle(now, event);
     if (leaving_.load(std::memory_order_relaxed) && !isStopApplied_) {
         decider_.stop();
@@ -188,7 +195,7 @@
     }
 }
 
-bool PacketThread::takePackets(Base::TimePoint now)
+int PacketThread::receiveBatch()
 {
     auto& buffers = *buffers_;
     for (std::size_t index = 0; index < batchSize; ++index) {
@@ -197,7 +204,27 @@
             .iov_len = bufferBytes - Platform::serverNumberBytes };
         buffers.messages[index].msg_hdr = { .msg_iov = &buffers.parts[index], .msg_iovlen = 1 };
     }
-    const int received = ::recvmmsg(dataSocket_, buffers.messages.data(), batchSize, MSG_DONTWAIT, nullptr);
+    return ::recvmmsg(dataSocket_, buffers.messages.data(), batchSize, MSG_DONTWAIT, nullptr);
+}
+
+uint64_t PacketThread::discardWaiting()
+{
+    // The kernel holds no more than the buffer takes, so that this ends also while packets keep coming.
+    constexpr uint64_t mostWaiting = receiveBufferBytes / Platform::packetHeaderBytes;
+    uint64_t discarded = 0;
+    while (discarded < mostWaiting) {
+        const int received = receiveBatch();
+        discarded += received > 0 ? static_cast<uint64_t>(received) : 0;
+        if (received < static_cast<int>(batchSize))
+            break;
+    }
+    return discarded;
+}
+
+bool PacketThread::takePackets(Base::TimePoint now)
+{
+    auto& buffers = *buffers_;
+    const int received = receiveBatch();
     if (received <= 0)
         return false;
     lastPacketAt_.store(now, std::memory_order_relaxed);
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -20,6 +20,8 @@
     Steering::SteeringStatistics steering;
     uint64_t received { 0 };
     uint64_t malformed { 0 };
+    /// Packets that waited while the process did not run.
+    uint64_t discarded { 0 };
     uint64_t sendFailures { 0 };
     uint64_t reportsSent { 0 };
     uint64_t reportsReceived { 0 };
@@ -69,6 +71,10 @@
 
     void run();
     void takeBeliefs(Base::TimePoint now);
+    /// Reads packets into the buffers; how many, or a negative number.
+    int receiveBatch();
+    /// Throws away what waits in the socket; how many packets.
+    uint64_t discardWaiting();
     /// Whether more packets may be waiting.
     bool takePackets(Base::TimePoint now);
     void decidePacket(Base::TimePoint now, std::span<std::byte> buffer);
@@ -81,7 +87,7 @@
     void sendReports(Base::TimePoint now);
     void sendReport(const std::vector<Base::EntryVmId>& targets, std::span<const std::byte> datagram);
     void sleepUntilNextTimer(Base::TimePoint now);
-    /// Logs that the process did not run for a while.
+    /// Logs that the process did not run for a while, and discards the packets of that time.
     void notePause();
     void publish(Base::TimePoint now);
     void transmit();
--- a/Libraries/LibEntry/RegistrationThread.cpp
+++ b/Libraries/LibEntry/RegistrationThread.cpp
@@ -35,6 +35,12 @@
     worker_.start([this] { run(); });
 }
 
+void RegistrationThread::noteUnlisted()
+{
+    isUnlisted_.store(true);
+    worker_.wake();
+}
+
 void RegistrationThread::run()
 {
     while (!worker_.isStopping())
@@ -49,6 +55,16 @@
         logFailure(StoreCall::Lease, lease.outcome, lease.detail);
         return false;
     }
+    lease_ = lease.value.id;
+    isUnlisted_.store(false);
+    if (writeRecord())
+        return true;
+    lease_ = 0;
+    return false;
+}
+
+bool RegistrationThread::writeRecord()
+{
     const auto id = settings_.identity();
     const Platform::EntryVmRecord record { .id = id,
         .failureDomain = settings_.failureDomain,
@@ -56,16 +72,14 @@
         .linkMegabits = static_cast<uint64_t>(settings_.limits.linkMegabits) };
     const auto put = client_.put({ .key = Platform::entryVmKey(id),
         .value = Platform::encodeEntryVm(record),
-        .lease = lease.value.id,
+        .lease = lease_,
         .expectedRevision = std::nullopt });
     counters_.count(StoreCall::Put, put.outcome);
     if (!put.isOk()) {
         logFailure(StoreCall::Put, put.outcome, put.detail);
         return false;
     }
-    lease_ = lease.value.id;
-    Log::write(Events::registered,
-        Log::Fields().add("lease", lease_).add("revision", put.value).add("lease_ms", lease.value.lifetime.count()));
+    Log::write(Events::registered, Log::Fields().add("lease", lease_).add("revision", put.value));
     return true;
 }
 
@@ -74,6 +88,11 @@
     const auto betweenRenewals = settings_.store.leaseTime / renewalsInLifetime;
     if (lease_ == 0)
         return registerAnew() ? betweenRenewals : pauseAfterFailure;
+    // The store may take the record and leave the lease, so that no renewal shows it.
+    if (isUnlisted_.exchange(false) && !writeRecord()) {
+        lease_ = 0;
+        return pauseAfterFailure;
+    }
     const auto renewed = client_.renewLease(lease_);
     counters_.count(StoreCall::Renew, renewed.outcome);
     if (renewed.isOk())
--- a/Libraries/LibEntry/RegistrationThread.h
+++ b/Libraries/LibEntry/RegistrationThread.h
@@ -14,6 +14,8 @@
 
     void start();
     void askToStop() { worker_.askToStop(); }
+    /// Any thread: this entry VM's record is gone, although its lease may live on.
+    void noteUnlisted();
     /// Ends the lease, so that peers learn of a planned stop at once.
     void stop();
 
@@ -22,11 +24,14 @@
     /// How long to pause before the next step.
     Base::milliseconds step();
     bool registerAnew();
+    /// Writes the record under the lease.
+    bool writeRecord();
 
     const EntrySettings& settings_;
     StoreCounters& counters_;
     Platform::StoreClient client_;
     Platform::LeaseId lease_ { 0 };
+    std::atomic<bool> isUnlisted_ { false };
     Worker worker_;
 };
 
--- a/Libraries/LibLog/Log.cpp
+++ b/Libraries/LibLog/Log.cpp
@@ -97,12 +97,9 @@
     {
         auto& log = state();
         const auto overflow = log.queue.takeDropped();
-        if (overflow > 0) {
-            log.dropped += overflow;
+        if (overflow > 0)
             print(lineFor(ProgramEvents::linesDropped, Fields().add("reason", "queue_full").add("lines", overflow)));
-        }
         for (const auto& [number, lines] : log.limit.takeSuppressed()) {
-            log.dropped += lines;
             print(lineFor(ProgramEvents::linesDropped,
                 Fields().add("reason", "limit").add("of_event", number).add("lines", lines)));
         }
@@ -174,13 +171,16 @@
     auto& log = state();
     if (event.level == Level::Debug && !isDebugEnabled())
         return;
-    if (!log.limit.admit(std::chrono::steady_clock::now(), event))
+    // Counted here: the printing thread may wait for a reader that never comes.
+    if (!log.limit.admit(std::chrono::steady_clock::now(), event)) {
+        log.dropped.fetch_add(1, std::memory_order_relaxed);
         return;
+    }
     auto line = lineFor(event, fields);
-    if (log.isPrinting.load(std::memory_order_relaxed))
-        log.queue.push(std::move(line));
-    else
+    if (!log.isPrinting.load(std::memory_order_relaxed))
         print(line);
+    else if (!log.queue.push(std::move(line)))
+        log.dropped.fetch_add(1, std::memory_order_relaxed);
 }
 
 }
--- a/StandIns/Common/EventLoop.cpp
+++ b/StandIns/Common/EventLoop.cpp
@@ -65,6 +65,7 @@
 {
     std::vector<pollfd> descriptors;
     watchesChanged_ = true;
+    stopped_ = false;
     while (!stopped_ && signalled == 0) {
         if (watchesChanged_) {
             watchesChanged_ = false;
--- a/StandIns/Soak/Deployment.cpp
+++ b/StandIns/LibFleet/Deployment.cpp
@@ -1,4 +1,4 @@
-#include "Deployment.h"
+#include <LibFleet/Deployment.h>
 
 #include <LibPeer/Sockets.h>
 #include <algorithm>
@@ -103,7 +103,8 @@
             .reports = freeEndpoint(own),
             .readiness = freeEndpoint(own),
             .metrics = freeEndpoint(own),
-            .regions = regions };
+            .regions = regions,
+            .isOutputRead = options_.isOutputRead };
         EntryVm surrounding;
         surrounding.store = std::make_unique<StoreServer>(loop_, records_, own);
         surrounding.proxy = std::make_unique<LinkProxy>(loop_, entryVm.control, entryVm.reports);
--- a/StandIns/Soak/Deployment.h
+++ b/StandIns/LibFleet/Deployment.h
@@ -22,6 +22,8 @@
         std::size_t serversPerZone { 4 };
         std::size_t callersPerZone { 1 };
         double requestsPerSecond { 40 };
+        /// Whether somebody reads what the entry VMs write.
+        bool isOutputRead { true };
     };
 
     Deployment(EventLoop&, Options);
@@ -42,6 +44,7 @@
     Network& network() { return network_; }
     RecordStore& records() { return records_; }
     Base::Random& random() { return random_; }
+    uint64_t seed() const { return options_.seed; }
     const std::vector<std::string>& zones() const { return zones_; }
     std::vector<EntryVm>& entryVms() { return surroundings_; }
     EntryProcess& process(std::size_t index) { return *processes_[index]; }
--- a/StandIns/LibFleet/EntryProcess.cpp
+++ b/StandIns/LibFleet/EntryProcess.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/EntryProcess.h>
 
+#include <LibBase/Verify.h>
 #include <LibHttp/HttpClient.h>
 #include <array>
 #include <csignal>
@@ -25,6 +26,8 @@
     , checker_([this] { checkReadiness(); })
 {
     writeSettings();
+    if (!options_.isOutputRead)
+        VERIFY(::pipe2(unreadOutput_.data(), O_CLOEXEC) == 0);
 }
 
 EntryProcess::~EntryProcess()
@@ -36,6 +39,10 @@
         ::waitpid(process_, nullptr, 0);
     }
     checker_.join();
+    for (const int end : unreadOutput_) {
+        if (end >= 0)
+            ::close(end);
+    }
 }
 
 void EntryProcess::writeSettings() const
@@ -65,7 +72,8 @@
     process_ = ::fork();
     if (process_ != 0)
         return;
-    const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int file
+        = options_.isOutputRead ? ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644) : unreadOutput_[1];
     ::dup2(file, STDOUT_FILENO);
     ::dup2(file, STDERR_FILENO);
     sigset_t none;
--- a/StandIns/LibFleet/EntryProcess.h
+++ b/StandIns/LibFleet/EntryProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Ipv4Endpoint.h>
+#include <array>
 #include <atomic>
 #include <string>
 #include <sys/types.h>
@@ -28,6 +29,8 @@
         Base::Ipv4Endpoint readiness;
         Base::Ipv4Endpoint metrics;
         std::vector<std::string> regions;
+        /// Whether its output goes to a file; else to a pipe that nobody reads.
+        bool isOutputRead { true };
     };
 
     explicit EntryProcess(Options);
@@ -39,6 +42,7 @@
     void signal(int number) const;
     /// Whether the process has ended since the last call; its exit code or minus the signal.
     bool takeExit(int& code);
+    pid_t processId() const { return process_; }
     bool isRunning() const { return process_ > 0; }
     /// In rotation: two misses take it out, one answer brings it back.
     bool isInRotation() const { return inRotation_.load(); }
@@ -50,6 +54,8 @@
 
     Options options_;
     pid_t process_ { -1 };
+    /// The pipe that nobody reads, or -1.
+    std::array<int, 2> unreadOutput_ { -1, -1 };
     std::atomic<bool> inRotation_ { false };
     std::atomic<bool> stopping_ { false };
     std::thread checker_;
--- a/StandIns/LibFleet/FleetCaller.cpp
+++ b/StandIns/LibFleet/FleetCaller.cpp
@@ -164,7 +164,8 @@
 {
     if (!flow.isWaiting) {
         flow.isWaiting = true;
-        flow.sent = requests_.at(flow.request).id;
+        const auto& id = requests_.at(flow.request).id;
+        flow.sent = id + "\r\nX-Request-Id: " + id + "\r\n\r\n";
         flow.resendAfter = secondCopyAt;
         flow.nextSequence += static_cast<uint32_t>(flow.sent.size());
     }
--- a/StandIns/LibFleet/Ledger.cpp
+++ b/StandIns/LibFleet/Ledger.cpp
@@ -98,6 +98,7 @@
 
 void Ledger::resetSeen(Base::TimePoint now, const Base::Ipv4Endpoint& caller)
 {
+    lastReset_ = caller;
     const auto found = flows_.find(caller);
     if (found == flows_.end())
         return;
@@ -119,7 +120,7 @@
 
 void Ledger::failed(Base::TimePoint now, const std::string& request, Base::milliseconds age)
 {
-    ++failed_;
+    failures_.push_back(request);
     // Planned work, or nothing at all, cuts no request.
     if (isAllCalm(now - age) && isAllCalm(now))
         violate(now, "request " + request + " was not answered though nothing was disturbed");
--- a/StandIns/LibFleet/Ledger.h
+++ b/StandIns/LibFleet/Ledger.h
@@ -71,7 +71,11 @@
     /// What was broken, first things first.
     const std::vector<std::string>& violations() const { return violations_; }
     uint64_t servedCount() const;
-    uint64_t failedCount() const { return failed_; }
+    uint64_t failedCount() const { return failures_.size(); }
+    /// Ids of the requests that failed.
+    const std::vector<std::string>& failures() const { return failures_; }
+    /// The caller that got the latest reset; port 0: none did.
+    const Base::Ipv4Endpoint& lastReset() const { return lastReset_; }
 
 private:
     struct Flow {
@@ -92,7 +96,8 @@
     std::unordered_map<Base::Ipv4Endpoint, Flow> flows_;
     std::unordered_map<std::string, int> runs_;
     std::map<int64_t, uint64_t> servedInSecond_;
-    uint64_t failed_ { 0 };
+    std::vector<std::string> failures_;
+    Base::Ipv4Endpoint lastReset_;
     std::vector<std::string> violations_;
 };
 
--- a/StandIns/Soak/Faults.cpp
+++ b/StandIns/Soak/Faults.cpp
@@ -19,6 +19,9 @@
     constexpr milliseconds heartbeatsUntilGone { 3000 };
     constexpr milliseconds addressReuse { 2000 };
     constexpr milliseconds disturbanceStep { 100 };
+    /// Seeds below draw from the kinds of fault that there were when the first of them were kept as regression cases.
+    constexpr uint64_t firstSeedOfAllKinds = 1000;
+    constexpr std::size_t firstKinds = 21;
 
 }
 
@@ -39,10 +42,13 @@
         Kind { "cut a zone", &Faults::cutZone }, Kind { "replace a server", &Faults::replaceServer },
         Kind { "crash a server", &Faults::crashServer }, Kind { "reuse an address", &Faults::reuseAddress },
         Kind { "entries lapse in an outage", &Faults::lapseEntries }, Kind { "evacuate a zone", &Faults::evacuate },
-        Kind { "change routes", &Faults::changeRoutes }, Kind { "configuration storm", &Faults::configurationStorm } };
+        Kind { "change routes", &Faults::changeRoutes }, Kind { "configuration storm", &Faults::configurationStorm },
+        Kind { "store takes records", &Faults::takeRecords } };
+    static_assert(kinds.size() == firstKinds + 1);
+    const auto drawn = deployment_.seed() < firstSeedOfAllKinds ? firstKinds : kinds.size();
     auto& random = deployment_.random();
     for (auto at = begin; at < end;) {
-        const auto& kind = kinds[random.below(kinds.size())];
+        const auto& kind = kinds[random.below(drawn)];
         auto duration = shortestFault + milliseconds(random.below(faultSpreadMilliseconds));
         duration = std::min(duration, end - at + shortestFault);
         schedule_.push_back(
@@ -158,6 +164,17 @@
     deployment_.ledger().disturbEverything(deployment_.loop().now());
 }
 
+void Faults::takeRecords(milliseconds duration)
+{
+    for (std::size_t index = 0; index < deployment_.entryVmCount(); ++index) {
+        if (!deployment_.random().chance(0.5))
+            continue;
+        // Their leases live on.
+        deployment_.records().remove("entry/" + deployment_.process(index).options().advertised.toString());
+    }
+    during(duration, [this] { deployment_.ledger().disturbEverything(deployment_.loop().now()); });
+}
+
 void Faults::cutPeerLinks(milliseconds duration)
 {
     const auto index = anyEntryVm();
--- a/StandIns/Soak/Faults.h
+++ b/StandIns/Soak/Faults.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Deployment.h"
+#include <LibFleet/Deployment.h>
 
 namespace StandIn {
 
@@ -32,6 +32,7 @@
     void storeLosesAnswers(Base::milliseconds);
     void storeIsSlow(Base::milliseconds);
     void storeForgets(Base::milliseconds);
+    void takeRecords(Base::milliseconds);
     void cutPeerLinks(Base::milliseconds);
     void delayPeerLinks(Base::milliseconds);
     void resetPeerLinks(Base::milliseconds);
--- /dev/null
+++ b/Tests/EntryProcesses/PlayedFleet.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <LibFleet/Deployment.h>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+/// entryd as processes on the stand-in platform, with callers, and the shell commands of docs/OPERATIONS.md on their
+/// logs.
+class PlayedFleet {
+public:
+    explicit PlayedFleet(StandIn::Deployment::Options options)
+        : folder_(makeFolder())
+        , deployment_(loop_, withPlace(std::move(options), folder_))
+    {
+        deployment_.ledger().disturbEverything(loop_.now());
+        runFor(Base::milliseconds(2500));
+    }
+
+    ~PlayedFleet() { std::filesystem::remove_all(folder_); }
+    PlayedFleet(const PlayedFleet&) = delete;
+    PlayedFleet& operator=(const PlayedFleet&) = delete;
+
+    void runFor(Base::milliseconds time)
+    {
+        loop_.after(time, [this] { loop_.stop(); });
+        loop_.run();
+    }
+
+    /// Runs until the condition holds or the time is over; whether it holds. The played network stands still while the
+    /// condition is checked.
+    bool runUntil(Base::milliseconds atMost, const std::function<bool()>& condition,
+        Base::milliseconds step = Base::milliseconds(100))
+    {
+        for (Base::milliseconds passed { 0 }; passed < atMost && !condition(); passed += step)
+            runFor(step);
+        return condition();
+    }
+
+    StandIn::Deployment& deployment() { return deployment_; }
+    StandIn::Ledger& ledger() { return deployment_.ledger(); }
+
+    /// What a shell command prints that finds the lines of all entry VMs in all.log.
+    std::string shell(const std::string& command) const
+    {
+        std::ofstream(folder_ + "/command.sh")
+            << "cd " << folder_ << "\ncat entry-*.log > all.log\n"
+            << "flow() { grep -h \"\\\"caller\\\":\\\"$1\\\"\" all.log | jq -c 'del(.time,.program,.level)'; }\n"
+            << command << "\n";
+        std::string output;
+        FILE* pipe = ::popen(("bash " + folder_ + "/command.sh 2>&1").c_str(), "r");
+        if (pipe == nullptr)
+            return {};
+        std::array<char, 4096> buffer {};
+        for (std::size_t count = 0; (count = std::fread(buffer.data(), 1, buffer.size(), pipe)) > 0;)
+            output.append(buffer.data(), count);
+        ::pclose(pipe);
+        return output;
+    }
+
+private:
+    static std::string makeFolder()
+    {
+        std::string folder = (std::filesystem::temp_directory_path() / "eelgrasshatch-test-XXXXXX").string();
+        return ::mkdtemp(folder.data()) != nullptr ? folder : std::string();
+    }
+
+    static StandIn::Deployment::Options withPlace(StandIn::Deployment::Options options, const std::string& folder)
+    {
+        options.program = ENTRYD;
+        options.folder = folder;
+        return options;
+    }
+
+    std::string folder_;
+    StandIn::EventLoop loop_;
+    StandIn::Deployment deployment_;
+};
--- /dev/null
+++ b/Tests/EntryProcesses/TestOperations.cpp
@@ -0,0 +1,101 @@
+// Three failed requests, and the commands of docs/OPERATIONS.md that lead from each to its cause.
+
+#include "PlayedFleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+constexpr Base::milliseconds patience { 10'000 };
+/// Between looks at the logs: shell commands hold up the played network.
+constexpr Base::milliseconds lookInterval { 2000 };
+
+std::string readPage()
+{
+    std::ifstream file("docs/OPERATIONS.md");
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/// The command of the page that begins so, with the page's example replaced; empty when the page has no such command.
+std::string documented(const std::string& begin, const std::string& example = {}, const std::string& actual = {})
+{
+    const auto page = readPage();
+    const auto place = page.find("\n$ " + begin);
+    if (place == std::string::npos)
+        return {};
+    auto command = page.substr(place + 3, page.find('\n', place + 1) - place - 3);
+    if (const auto found = command.find(example); !example.empty() && found != std::string::npos)
+        command.replace(found, example.size(), actual);
+    return command;
+}
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+}
+
+TEST_CASE("a refused connection leads to the operators' evacuation")
+{
+    PlayedFleet fleet({ .seed = 3, .entryVmsPerZone = 1, .serversPerZone = 3 });
+    for (const auto& zone : fleet.deployment().zones())
+        fleet.deployment().records().put("op/evacuate/" + zone, "{}");
+    REQUIRE(fleet.runUntil(patience, [&] { return fleet.ledger().lastReset().port != 0; }));
+    const auto caller = fleet.ledger().lastReset().toString();
+    fleet.runFor(Base::milliseconds(500));
+    const auto refused = fleet.shell(documented("flow ", "100.65.0.29:1039", caller));
+    INFO(refused);
+    CHECK(contains(refused, "\"name\":\"flow_refused\""));
+    CHECK(contains(refused, "\"reason\":\"no_server\""));
+    const auto changes = fleet.shell(documented("grep -hE '\"event\":(5020"));
+    INFO(changes);
+    for (const auto& zone : fleet.deployment().zones())
+        CHECK(contains(changes, "\"failure_domain\":\"" + zone + "\",\"evacuated\":true"));
+}
+
+TEST_CASE("first packets that were offered again lead to the server that died")
+{
+    PlayedFleet fleet({ .seed = 4, .entryVmsPerZone = 1, .serversPerZone = 4 });
+    auto& server = *fleet.deployment().servers()[1];
+    REQUIRE(server.options().service == "rota");
+    server.crash(fleet.deployment().loop().now());
+    const auto offered = [&] { return fleet.shell(documented("grep -h '\"event\":5002'")); };
+    CHECK(fleet.runUntil(
+        patience, [&] { return contains(offered(), "\"what\":\"reoffered\""); }, lookInterval));
+    const auto mostAffected = [&] {
+        return fleet.shell(documented("jq -r 'select(.event==5001)") + "\n" + documented("jq -r 'select(.event==5002)")
+            + " | sort -rn | head -1");
+    };
+    const auto digits = server.options().id.substr(2);
+    CHECK(fleet.runUntil(
+        patience, [&] { return contains(mostAffected(), digits); }, lookInterval));
+}
+
+TEST_CASE("a request that was never answered leads to the server that holds its flow")
+{
+    PlayedFleet fleet({ .seed = 5, .entryVmsPerZone = 1, .serversPerZone = 3 });
+    // A server that still holds flows and answers nothing any more.
+    auto& server = *fleet.deployment().servers()[1];
+    REQUIRE(server.options().service == "rota");
+    server.crash(fleet.deployment().loop().now());
+    fleet.ledger().disturbEverything(fleet.deployment().loop().now());
+    const auto unanswered = [&]() -> std::string {
+        for (const auto& request : fleet.ledger().failures()) {
+            if (contains(fleet.shell(documented("grep -h '\"request\":\"", "369191acba7b873d", request)), "forwarded"))
+                return request;
+        }
+        return {};
+    };
+    REQUIRE(fleet.runUntil(
+        patience, [&] { return !unanswered().empty(); }, lookInterval));
+    const auto lines = fleet.shell(documented("grep -h '\"request\":\"", "369191acba7b873d", unanswered()));
+    INFO(lines);
+    const auto digits = server.options().id.substr(2);
+    CHECK(contains(lines, "\"server\":\"" + digits + "\""));
+    fleet.deployment().endServer(server);
+    fleet.runFor(Base::milliseconds(1000));
+    const auto history = fleet.shell(documented("grep -h '\"server\":\"", "9046ff59e0", digits));
+    INFO(history);
+    CHECK(contains(history, "backend_server_unlisted"));
+    CHECK_FALSE(contains(history, "draining"));
+}
