LibSteering: Leave callers to other domains while most entry VMs are silent

Cause: with fewer than half of a failure domain's entry VMs in rotation the fabric sends callers to all of them, frozen and dead ones included; the few that live answered "ready" and so kept it that way.

Change: an entry VM that hears fewer than half of its domain (itself included) and at least half of each other domain is not ready, until half are heard again. Not in domains that are parted into cells, where not everybody reports here. An entry VM that hears nobody stays ready.

Ruled out: quicker takeover by the others (they are not asked at all).

--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -39,7 +39,8 @@
     "for a while.",
     flowLinesPerSecond };
 inline constexpr Event readinessChanged { 5010, "readiness_changed", Level::Info,
-    "Callers may, or may no longer, be sent to this entry VM; isolated: no backend server answers." };
+    "Callers may, or may no longer, be sent to this entry VM; isolated: no backend server answers; outnumbered: most "
+    "entry VMs of the failure domain are silent." };
 inline constexpr Event leaving { 5011, "leaving", Level::Info, "A stop was asked for; open flows are still served." };
 inline constexpr Event left { 5012, "left", Level::Info, "No packets came any more, or the time was up." };
 inline constexpr Event processPaused { 5013, "process_paused", Level::Warning,
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -190,6 +190,7 @@
             Log::Fields()
                 .add("ready", isReady)
                 .add("isolated", decider_.isIsolated(now))
+                .add("outnumbered", decider_.isOutnumbered())
                 .add("stopping", isStopApplied_)
                 .add("version", decider_.configurationVersion()));
     }
--- a/Libraries/LibSteering/Process/Readiness.cpp
+++ b/Libraries/LibSteering/Process/Readiness.cpp
@@ -9,7 +9,8 @@
     /// Without callers there are no first packets to learn from. An attempt that comes too early costs its callers the
     /// second and a half that the fabric takes to react twice.
     constexpr Base::milliseconds isolationTime { 6000 };
-    /// The first packets after a start waited in the socket; some of their callers have given up meanwhile.
+    /// The first packets after a start waited in the socket; some of their callers have given up meanwhile. Reports of
+    /// all peers have come by then.
     constexpr Base::milliseconds settlingTime { 1000 };
     constexpr uint32_t answeredUntilBack = 3;
     /// What was sent before the isolation may still arrive.
@@ -34,6 +35,12 @@
     isolatedUntil_ = now + isolationTime;
 }
 
+void Readiness::setOutnumbered(Base::TimePoint now, bool isOutnumbered)
+{
+    // Right after its start an entry VM has heard of few others.
+    isOutnumbered_ = isOutnumbered && complete_ && now - completeSince_ >= settlingTime;
+}
+
 void Readiness::noteHeard(Base::TimePoint now)
 {
     if (now - isolatedSince_ > heardGrace)
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -62,6 +62,7 @@
     , servers_({ .retention = options.flowLifetime })
     , allowance_({ .self = options.self, .overshoot = options.warmUpOvershoot, .slack = options.warmUpSlack })
     , peerLoads_(servers_)
+    , presence_({ .self = options.self, .failureDomain = options.failureDomain })
     , topology_({ .self = options.self, .failureDomain = options.failureDomain, .linkMegabits = options.linkMegabits })
     , choice_({ .failureDomain = options.failureDomain,
                   .seed = options.seed,
@@ -446,6 +447,8 @@
     if (isTopologyStale_)
         topology_.update(peerLoads_.peers());
     isTopologyStale_ = false;
+    // In a large domain not everybody reports here.
+    readiness_.setOutnumbered(now, topology_.cellCount() == 1 && presence_.isOutnumbered(now, peerLoads_.peers()));
     allowance_.expire(now);
     return reoffers;
 }
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -9,6 +9,7 @@
 #include <LibSteering/Events.h>
 #include <LibSteering/Process/AnswerQuality.h>
 #include <LibSteering/Process/DomainReachability.h>
+#include <LibSteering/Process/EntryVmPresence.h>
 #include <LibSteering/Process/PeerLoads.h>
 #include <LibSteering/Process/PeerTopology.h>
 #include <LibSteering/Process/Readiness.h>
@@ -127,6 +128,7 @@
     void stop() { readiness_.setStopping(); }
     bool isReady(Base::TimePoint now) const { return readiness_.isReady(now); }
     bool isIsolated(Base::TimePoint now) const { return readiness_.isIsolated(now); }
+    bool isOutnumbered() const { return readiness_.isOutnumbered(); }
     uint64_t configurationVersion() const { return configuration_ ? configuration_->version : 0; }
     const SteeringStatistics& statistics() const { return statistics_; }
     std::size_t flowCount() const { return flows_.size(); }
@@ -176,6 +178,7 @@
     DomainReachability reachability_;
     WarmUpAllowance allowance_;
     PeerLoads peerLoads_;
+    EntryVmPresence presence_;
     PeerTopology topology_;
     /// The list of peers has changed since topology_ was worked out.
     bool isTopologyStale_ { false };
--- a/Tests/LibSteering/TestSilence.cpp
+++ b/Tests/LibSteering/TestSilence.cpp
@@ -109,6 +109,53 @@
     }
 }
 
+TEST_CASE_METHOD(SteeringFixture, "the last of a domain's entry VMs leave its callers to domains with more of them")
+{
+    configure();
+    synchronize();
+    list(1);
+    const auto listPeer = [&](uint32_t host, const std::string& domain) {
+        decider_.handle(now_, Steering::PeerListed { .peer = peer(host), .failureDomain = domain, .reports = {} });
+    };
+    for (const uint32_t host : { 2, 3, 4 })
+        listPeer(host, "brum");
+    for (const uint32_t host : { 5, 6 })
+        listPeer(host, "notts");
+    uint64_t sequence = 0;
+    const auto pass = [&](int rounds, const std::vector<uint32_t>& reporting) {
+        for (int round = 0; round < rounds; ++round) {
+            ++sequence;
+            for (const auto host : reporting)
+                REQUIRE(decider_.takeReport(now_, { .sender = peer(host), .sequence = sequence }));
+            advance(milliseconds(100));
+        }
+    };
+    pass(20, { 2, 3, 4, 5, 6 });
+    REQUIRE(decider_.isReady(now_));
+    // Two of four are enough for the fabric.
+    pass(20, { 2, 5, 6 });
+    CHECK(decider_.isReady(now_));
+    pass(15, { 5, 6 });
+    CHECK_FALSE(decider_.isReady(now_));
+    CHECK(decider_.isOutnumbered());
+    pass(5, { 4, 5, 6 });
+    CHECK(decider_.isReady(now_));
+    pass(15, { 5, 6 });
+    REQUIRE_FALSE(decider_.isReady(now_));
+    SECTION("the other domain falls silent, too")
+    {
+        pass(15, {});
+        CHECK(decider_.isReady(now_));
+    }
+    SECTION("the silent ones are no longer listed")
+    {
+        for (const uint32_t host : { 2, 3, 4 })
+            decider_.handle(now_, Steering::PeerUnlisted { .peer = peer(host) });
+        pass(5, { 5, 6 });
+        CHECK(decider_.isReady(now_));
+    }
+}
+
 TEST_CASE("a cold server's limit holds when each entry VM knows another list of peers")
 {
     const auto id = [](uint32_t host) { return SteeringFixture::peer(host); };
