LibEntry: Log datagrams that are no packets; test reasons against counters

Cause: a malformed datagram was counted but left no line, and the refusal "malformed" stood in the enumeration without ever being given.

Change: event packet_malformed (20 lines a second at most); the unused refusal is removed. TestReasons compares each refusal and each kind of decision with its counter and its log line.

--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -13,6 +13,8 @@
 /// Most lines a second of the events that come with each flow. At the busiest day's rate of a machine, about 160 flows
 /// a second, nothing is left out; at ten times the load the log grows no further.
 inline constexpr uint32_t flowLinesPerSecond = 200;
+/// Of datagrams that are no packets, which anybody may send.
+inline constexpr uint32_t malformedLinesPerSecond = 20;
 /// Of events about single backend servers; a start with thousands of them must not flood the log.
 inline constexpr uint32_t serverLinesPerSecond = 1000;
 
@@ -38,6 +40,9 @@
     "An answer was far shorter than usual at its service address, as failures are; its backend server counts as busier "
     "for a while.",
     flowLinesPerSecond };
+inline constexpr Event packetMalformed { 5008, "packet_malformed", Level::Info,
+    "A datagram at the data address is no packet: too short, or its length contradicts its head.",
+    malformedLinesPerSecond };
 inline constexpr Event readinessChanged { 5010, "readiness_changed", Level::Info,
     "Callers may, or may no longer, be sent to this entry VM; isolated: no backend server answers; outnumbered: most "
     "entry VMs of the failure domain are silent." };
@@ -78,8 +83,8 @@
 
 /// All events of this area, in the order of their numbers.
 inline constexpr std::array all { flowPlaced, flowOffered, flowOpened, flowRefused, flowNeverOpened, requestSeen,
-    answerShort, readinessChanged, leaving, left, processPaused, configurationInForce, serverListed, serverUnlisted,
-    domainEvacuated, recordRefused, peerListed, peerUnlisted, beliefsComplete, storeLost, storeRegained, historyGone,
-    registered, registrationFailed, caughtUp, peerSilent, watchBegun, watchEnded };
+    answerShort, packetMalformed, readinessChanged, leaving, left, processPaused, configurationInForce, serverListed,
+    serverUnlisted, domainEvacuated, recordRefused, peerListed, peerUnlisted, beliefsComplete, storeLost, storeRegained,
+    historyGone, registered, registrationFailed, caughtUp, peerSilent, watchBegun, watchEnded };
 
 }
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -246,6 +246,7 @@
     const auto view = Platform::decodePacket(packet);
     if (!view) {
         ++figures_.malformed;
+        Log::write(Events::packetMalformed, Log::Fields().add("bytes", packet.size()));
         return;
     }
     const auto verdict = decider_.decide(now, *view, packet);
--- a/Libraries/LibSteering/Events.cpp
+++ b/Libraries/LibSteering/Events.cpp
@@ -17,8 +17,6 @@
         return "no_token";
     case Refusal::UnknownToken:
         return "unknown_token";
-    case Refusal::Malformed:
-        return "malformed";
     }
     return "unknown";
 }
--- a/Libraries/LibSteering/Events.h
+++ b/Libraries/LibSteering/Events.h
@@ -89,10 +89,8 @@
     NoToken,
     /// The token names no backend server known here.
     UnknownToken,
-    /// The packet is too short or contradicts itself.
-    Malformed,
 };
-constexpr std::size_t refusalCount = 7;
+constexpr std::size_t refusalCount = 6;
 std::string_view toString(Refusal);
 
 enum class VerdictKind : uint8_t {
--- /dev/null
+++ b/Tests/LibEntry/TestReasons.cpp
@@ -0,0 +1,81 @@
+// Each reason for which a packet is not forwarded has a counter and stands in the log line of the decision.
+
+#include <LibEntry/EntryMetrics.h>
+#include <LibEntry/FlowLog.h>
+#include <LibLog/Log.h>
+#include <catch2/catch.hpp>
+#include <iostream>
+#include <set>
+#include <sstream>
+
+namespace {
+
+/// What is written to standard output in its lifetime.
+class CapturedOutput {
+public:
+    CapturedOutput()
+        : before_(std::cout.rdbuf(text_.rdbuf()))
+    {
+    }
+    ~CapturedOutput() { std::cout.rdbuf(before_); }
+    CapturedOutput(const CapturedOutput&) = delete;
+    CapturedOutput& operator=(const CapturedOutput&) = delete;
+
+    std::string take()
+    {
+        auto text = text_.str();
+        text_.str({});
+        return text;
+    }
+
+private:
+    std::ostringstream text_;
+    std::streambuf* before_;
+};
+
+bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+}
+
+TEST_CASE("each refusal has a counter and a reason in its log line")
+{
+    Log::initialize("test");
+    const auto metrics = Entry::EntryMetrics().text();
+    CapturedOutput output;
+    std::set<std::string> names;
+    for (std::size_t index = 1; index < Steering::refusalCount; ++index) {
+        const auto refusal = static_cast<Steering::Refusal>(index);
+        const std::string name(Steering::toString(refusal));
+        INFO(name);
+        CHECK(name != "unknown");
+        CHECK(names.insert(name).second);
+        CHECK(contains(metrics, "eelgrasshatch_packets_refused_total{reason=\"" + name + "\"}"));
+        Entry::logFlowDecision({ .kind = Steering::FlowDecision::Kind::Refused, .refusal = refusal });
+        const auto line = output.take();
+        CHECK(contains(line, "\"name\":\"flow_refused\""));
+        CHECK(contains(line, "\"reason\":\"" + name + "\""));
+    }
+}
+
+TEST_CASE("each kind of decision about a flow has a log line that names it")
+{
+    using Kind = Steering::FlowDecision::Kind;
+    Log::initialize("test");
+    CapturedOutput output;
+    for (const auto kind : { Kind::Placed, Kind::Copied, Kind::Reoffered, Kind::Opened, Kind::Refused,
+             Kind::NeverOpened, Kind::ShortAnswer }) {
+        const std::string name(Steering::toString(kind));
+        CHECK(name != "unknown");
+        Entry::logFlowDecision({ .kind = kind });
+        CHECK(contains(output.take(), "\"what\":\"" + name + "\""));
+    }
+}
+
+TEST_CASE("other losses of packets have counters of their own")
+{
+    const auto metrics = Entry::EntryMetrics().text();
+    for (const std::string name : { "malformed", "discarded" })
+        CHECK(contains(metrics, "eelgrasshatch_packets_" + name + "_total"));
+    CHECK(contains(metrics, "eelgrasshatch_resets_total"));
+    CHECK(contains(metrics, "eelgrasshatch_send_failures_total"));
+}
