--- a/Meta/run-tests.sh
+++ b/Meta/run-tests.sh
@@ -11,7 +11,7 @@
 known_red="$(sed -n 's/^TEST \([A-Za-z0-9_.-]*\).*/\1/p' "$ROOT/KNOWN-RED.txt" 2>/dev/null | paste -sd'|' -)"
 if [ -n "$known_red" ]; then
     echo "Known red (KNOWN-RED.txt), reported and not decisive:"
-    ctest --test-dir "$BUILD" -R "^($known_red)\$" --output-on-failure || true
+    ctest --test-dir "$BUILD" -j "$JOBS" -R "^($known_red)\$" --output-on-failure || true
     exec ctest --test-dir "$BUILD" -j "$JOBS" --output-on-failure -E "^($known_red)\$" "$@"
 fi
 exec ctest --test-dir "$BUILD" -j "$JOBS" --output-on-failure "$@"
