TestEntryProcesses: Wait for the printed log line of a process pause

The test looked into the log the moment the counter had changed. The check still requires exactly one line, now within a second of the counter and a second later too.

--- a/StandIns/LibFleet/Deployment.cpp
+++ b/StandIns/LibFleet/Deployment.cpp
@@ -116,7 +116,7 @@
         all.push_back(std::move(entryVm));
     }
     std::vector<Base::Ipv4Endpoint> seeds;
-    for (std::size_t index = 0; index < std::min<std::size_t>(3, all.size()); ++index)
+    for (std::size_t index = 0; index < std::min(options_.seedCount, all.size()); ++index)
         seeds.push_back(all[index].advertised);
     for (auto& entryVm : all) {
         entryVm.seeds = seeds;
--- a/StandIns/LibFleet/Deployment.h
+++ b/StandIns/LibFleet/Deployment.h
@@ -23,6 +23,8 @@
         std::size_t serversPerZone { 4 };
         std::size_t callersPerZone { 1 };
         double requestsPerSecond { 40 };
+        /// Number of entry VMs that the settings of all others name as seeds.
+        std::size_t seedCount { 3 };
         /// If false, the entry VMs write their output to a pipe that is never read.
         bool isOutputRead { true };
     };
--- a/Tests/EntryProcesses/TestDisturbances.cpp
+++ b/Tests/EntryProcesses/TestDisturbances.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Base::milliseconds conditionTimeout { 10'000 };
+constexpr Base::milliseconds logPrintTimeout { 1000 };
 
 /// Value of a metric, summed over its labels; 0 if it does not exist.
 double metric(const Base::Ipv4Endpoint& endpoint, const std::string& name)
@@ -53,6 +54,25 @@
     CHECK(fleet.invariants().violations().empty());
 }
 
+TEST_CASE("restarted entry VMs fetch the records from a peer that reports to them while the store does not respond")
+{
+    SimulatedFleet fleet({ .seed = 9, .entryVmsPerZone = 1, .serversPerZone = 3, .seedCount = 0 });
+    auto& deployment = fleet.deployment();
+    deployment.setStoreFault({ .isUnresponsive = true });
+    for (std::size_t index = 0; index < 2; ++index) {
+        deployment.entryVms()[index].isExitExpected = true;
+        deployment.entryVms()[index].mayRestart = false;
+        deployment.process(index).signal(SIGKILL);
+    }
+    REQUIRE(fleet.runUntil(conditionTimeout,
+        [&] { return !deployment.process(0).isInRotation() && !deployment.process(1).isInRotation(); }));
+    deployment.process(0).start();
+    deployment.process(1).start();
+    CHECK(fleet.runUntil(conditionTimeout,
+        [&] { return deployment.process(0).isInRotation() && deployment.process(1).isInRotation(); }));
+    CHECK(deployment.unexpectedExits().empty());
+}
+
 TEST_CASE("packets queued while the process was paused are discarded")
 {
     SimulatedFleet fleet({ .seed = 7, .entryVmsPerZone = 1, .serversPerZone = 3 });
@@ -64,7 +84,11 @@
     fleet.invariants().markAllDisturbed(fleet.deployment().loop().now());
     const auto discarded = [&] { return metric(process.options().metrics, "eelgrasshatch_packets_discarded_total"); };
     CHECK(fleet.runUntil(conditionTimeout, [&] { return discarded() > 0; }));
-    CHECK(fleet.shell("grep -c process_paused entry-0.log") == "1\n");
+    // Log lines are printed in batches, up to 100 ms after the counter has changed.
+    const auto pauseLines = [&] { return fleet.shell("grep -c process_paused entry-0.log"); };
+    CHECK(fleet.runUntil(logPrintTimeout, [&] { return pauseLines() == "1\n"; }));
+    fleet.runFor(logPrintTimeout);
+    CHECK(pauseLines() == "1\n");
 }
 
 TEST_CASE("an entry VM whose output is not read keeps serving and counts dropped log lines")
