LibSteering, LibEntry: Reset requests on open flows whose backend server is gone

Change: StalledFlows. A request without a response for four usual response times, at a server that answered no other flow meanwhile, causes one probe (a TCP connection without a request, so that no slot is taken). If the host answers neither of two connections within 90 ms, waiting requests and further ones on open flows to it are reset, until it responds or the result is a second old. A server whose address a later one has registered is gone for certain. A slow server accepts the connection and keeps its flows. The reset claims nothing about execution; its sequence number is the one that the caller has acknowledged.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -33,6 +33,11 @@
     , resets_(registry_.counter("eelgrasshatch_resets_total", "Resets sent to callers."))
     , shortResponses_(registry_.counter("eelgrasshatch_short_answers_total",
           "Answers that look like failures by their length and hold their backend server back."))
+    , probes_(registry_.counter(
+          "eelgrasshatch_probes_total", "TCP connections opened to backend servers that stopped responding."))
+    , failedProbes_(registry_.counter("eelgrasshatch_probes_failed_total", "Probes that the host did not answer."))
+    , probesSkipped_(
+          registry_.counter("eelgrasshatch_probes_skipped_total", "Probes not made since too many were waiting."))
     , malformed_(registry_.counter("eelgrasshatch_packets_malformed_total", "Datagrams that are no packet."))
     , discarded_(registry_.counter(
           "eelgrasshatch_packets_discarded_total", "Packets that waited while the process did not run."))
@@ -91,6 +96,9 @@
     raiseTo(neverOpened_, static_cast<double>(steering.neverOpened));
     raiseTo(resets_, static_cast<double>(steering.resets));
     raiseTo(shortResponses_, static_cast<double>(steering.shortResponses));
+    raiseTo(probes_, static_cast<double>(statistics.probes));
+    raiseTo(failedProbes_, static_cast<double>(steering.failedProbes));
+    raiseTo(probesSkipped_, static_cast<double>(statistics.probesSkipped));
     raiseTo(malformed_, static_cast<double>(statistics.malformed));
     raiseTo(discarded_, static_cast<double>(statistics.discarded));
     raiseTo(sendFailures_, static_cast<double>(statistics.sendFailures));
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -31,6 +31,9 @@
     prometheus::Counter& neverOpened_;
     prometheus::Counter& resets_;
     prometheus::Counter& shortResponses_;
+    prometheus::Counter& probes_;
+    prometheus::Counter& failedProbes_;
+    prometheus::Counter& probesSkipped_;
     prometheus::Counter& malformed_;
     prometheus::Counter& discarded_;
     prometheus::Counter& sendFailures_;
--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -58,6 +58,10 @@
     "A backend server's entry was removed.", serverLinesPerSecond };
 inline constexpr Event domainEvacuated { 5023, "domain_evacuation", Level::Info,
     "Operators evacuated a failure domain, or ended its evacuation." };
+inline constexpr Event serverUnreachable { 5028, "backend_server_unreachable", Level::Warning,
+    "A backend server's host did not answer a TCP connection after the server had stopped responding; requests on open "
+    "flows to it are reset.",
+    serverLinesPerSecond };
 inline constexpr Event recordRefused { 5024, "record_refused", Level::Warning,
     "A record of the store could not be decoded and is not used.", serverLinesPerSecond };
 inline constexpr Event peerListed { 5025, "peer_listed", Level::Info, "Another entry VM registered." };
@@ -85,7 +89,7 @@
 inline constexpr std::array all { flowPlaced, flowAttemptedAgain, flowOpenedLate, flowRefused, flowNeverOpened,
     requestSeen, responseShort, packetMalformed, readinessChanged, leaving, left, processPaused, configurationInForce,
     serverListed, serverUnlisted, domainEvacuated, recordRefused, peerListed, peerUnlisted, stateSynchronized,
-    storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp, peerFetchFailed, storeWatchStarted,
-    storeWatchEnded };
+    serverUnreachable, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp, peerFetchFailed,
+    storeWatchStarted, storeWatchEnded };
 
 }
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -99,6 +99,7 @@
           .linkMegabits = static_cast<uint64_t>(settings.limits.linkMegabits),
           .watchersPerDomain = settings.store.watchersPerDomain })
     , buffers_(std::make_unique<Buffers>())
+    , probes_([this] { wakeup_.wake(); })
     , reportSequence_(initialReportSequence())
 {
     batch_.setSegmentation(false);
@@ -113,6 +114,7 @@
 
 void PacketThread::start()
 {
+    probes_.start();
     worker_.start([this] { run(); });
 }
 
@@ -121,6 +123,7 @@
     worker_.requestStop();
     wakeup_.wake();
     worker_.stop();
+    probes_.stop();
 }
 
 Base::milliseconds PacketThread::timeSinceLastPacket() const
@@ -151,6 +154,8 @@
             continue;
         processReports(now);
         sendHedgedAttempts(now);
+        exchangeProbes(now);
+        sendResets();
         updateWatcherRole(now);
         sendReports(now);
         publishStatistics(now);
@@ -260,10 +265,7 @@
         Platform::writeToken(packet, verdict.token);
         batch_.add(verdict.server, buffer);
     } else if (verdict.kind == Steering::VerdictKind::Reset) {
-        auto& reset = buffers_->resets[buffers_->resetCount++];
-        reset = Platform::encodeReset(*view);
-        // Callers receive packets at the same port number as the data endpoint.
-        batch_.add({ .address = view->flow.caller.address, .port = settings_.data.port }, reset);
+        addReset(*view);
     }
 }
 
@@ -287,11 +289,16 @@
         }
         const auto report
             = Base::capture([&] { return Steering::decodeLoadReport(bytes.subspan(Peer::authenticationCodeBytes)); });
-        if (!report.isOk() || !decider_.acceptReport(now, *report.value)) {
+        if (!report.isOk()) {
             ++statistics_.reportsIgnored;
             continue;
         }
-        updateCatchUpPeer(*report.value);
+        const bool isAccepted = decider_.acceptReport(now, *report.value);
+        statistics_.reportsIgnored += isAccepted ? 0 : 1;
+        // A sender without a record here may hold newer records, for example after this process was restarted while the
+        // store does not respond.
+        if (isAccepted || !decider_.peers().contains(report.value->sender))
+            updateCatchUpPeer(*report.value);
     }
 }
 
@@ -325,6 +332,46 @@
         transmit();
 }
 
+void PacketThread::exchangeProbes(Base::TimePoint now)
+{
+    Steering::ServerProbed result;
+    while (probes_.tryPopResult(result)) {
+        if (!result.isReachable)
+            Log::write(Events::serverUnreachable, Log::Fields().add("server", result.server.toString()));
+        decider_.handleProbe(now, result);
+    }
+    for (const auto& probe : decider_.takeProbes()) {
+        ++statistics_.probes;
+        // A server that was not probed counts as reachable.
+        if (!probes_.request(probe)) {
+            ++statistics_.probesSkipped;
+            decider_.handleProbe(now, { .server = probe.server, .isReachable = true });
+        }
+    }
+}
+
+void PacketThread::sendResets()
+{
+    buffers_->resetCount = 0;
+    for (const auto& reset : decider_.takeResets()) {
+        addReset({ .flow = reset.flow, .acknowledged = reset.acknowledged });
+        if (buffers_->resetCount < batchSize)
+            continue;
+        transmit();
+        buffers_->resetCount = 0;
+    }
+    if (buffers_->resetCount > 0)
+        transmit();
+}
+
+void PacketThread::addReset(const Steering::PacketView& packet)
+{
+    auto& reset = buffers_->resets[buffers_->resetCount++];
+    reset = Platform::encodeReset(packet);
+    // Callers receive packets at the same port number as the data endpoint.
+    batch_.add({ .address = packet.flow.caller.address, .port = settings_.data.port }, reset);
+}
+
 void PacketThread::updateWatcherRole(Base::TimePoint now)
 {
     store_.setWatching(watcherChoice_.isWatcher(now, decider_.peers()));
@@ -411,8 +458,10 @@
     const bool isWaiting = !decider_.isComplete() && now - startedAt_ <= initialConfigurationTimeout;
     // Waking up later than requested also counts as time without reading packets.
     expectedRoundStart_ = now + atMost;
-    wakeup_.sleep({ isWaiting ? -1 : dataSocket_, reportSocket_ }, atMost,
-        [this] { return feed_.isEmpty() && !worker_.isStopping() && leaving_.load() == isDeciderStopped_; });
+    wakeup_.sleep({ isWaiting ? -1 : dataSocket_, reportSocket_ }, atMost, [this] {
+        return feed_.isEmpty() && !probes_.hasResults() && !worker_.isStopping()
+            && leaving_.load() == isDeciderStopped_;
+    });
 }
 
 }
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -5,6 +5,7 @@
 #include <LibDatagram/Wakeup.h>
 #include <LibEntry/CatchUpThread.h>
 #include <LibEntry/EntrySettings.h>
+#include <LibEntry/ProbeThread.h>
 #include <LibEntry/StateFeed.h>
 #include <LibEntry/StoreThread.h>
 #include <LibEntry/Worker.h>
@@ -27,6 +28,9 @@
     uint64_t reportsReceived { 0 };
     /// Reports that were unauthenticated, from an unknown sender, malformed or older than the last one.
     uint64_t reportsIgnored { 0 };
+    /// Probes of backend servers; skipped: too many were waiting.
+    uint64_t probes { 0 };
+    uint64_t probesSkipped { 0 };
     std::size_t flows { 0 };
     std::size_t servers { 0 };
     std::size_t peers { 0 };
@@ -78,10 +82,16 @@
     /// Processes one batch. Returns whether more packets may be queued.
     bool processPackets(Base::TimePoint now);
     void decidePacket(Base::TimePoint now, std::span<std::byte> buffer);
+    /// Adds a reset to the batch to be transmitted.
+    void addReset(const Steering::PacketView&);
     void processReports(Base::TimePoint now);
     /// Makes the sender a candidate to fetch records from if its revision is newer.
     void updateCatchUpPeer(const Steering::LoadReport&);
     void sendHedgedAttempts(Base::TimePoint now);
+    /// Exchanges probes and their results with the probe thread.
+    void exchangeProbes(Base::TimePoint now);
+    /// Resets open flows whose backend servers are gone.
+    void sendResets();
     /// Decides whether this entry VM watches the store, and derives the store's reachability from peers if it does not.
     void updateWatcherRole(Base::TimePoint now);
     void sendReports(Base::TimePoint now);
@@ -105,6 +115,7 @@
     std::unique_ptr<Buffers> buffers_;
     Datagram::SendBatch batch_;
     Datagram::Wakeup wakeup_;
+    ProbeThread probes_;
     Worker worker_;
     std::atomic<bool> leaving_ { false };
     std::atomic<bool> ready_ { false };
--- /dev/null
+++ b/Libraries/LibEntry/ProbeThread.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <LibBase/Ring.h>
+#include <LibEntry/Worker.h>
+#include <LibSteering/Events.h>
+#include <functional>
+#include <vector>
+
+namespace Entry {
+
+/// Opens TCP connections to backend servers to find out whether their hosts can be reached, and closes them at once. A
+/// refused connection counts as an answer.
+class ProbeThread {
+public:
+    /// onResult is called by the probe thread after results were added.
+    explicit ProbeThread(std::function<void()> onResult);
+
+    void start();
+    void stop() { worker_.stop(); }
+    void requestStop() { worker_.requestStop(); }
+
+    /// Returns false if too many probes are waiting; there will be no result then. Packet thread only.
+    bool request(const Steering::ProbeRequest&);
+    /// Returns false if there is no result. Packet thread only.
+    bool tryPopResult(Steering::ServerProbed& result) { return results_.tryPop(result); }
+    bool hasResults() const { return !results_.isEmpty(); }
+
+private:
+    struct Probe {
+        Steering::ProbeRequest request;
+        std::vector<int> sockets;
+        Base::TimePoint startedAt;
+    };
+
+    void run();
+    void startRequested();
+    void connect(Probe&);
+    /// Waits until a connection is answered or the next timeout is due, and finishes probes.
+    void poll();
+    void finish(const Probe&, bool isReachable);
+
+    std::function<void()> onResult_;
+    Worker worker_;
+    Base::Ring<Steering::ProbeRequest> requests_;
+    Base::Ring<Steering::ServerProbed> results_;
+    std::vector<Probe> probes_;
+};
+
+}
--- a/Libraries/LibSteering/Connection/FlowProgress.cpp
+++ b/Libraries/LibSteering/Connection/FlowProgress.cpp
@@ -29,36 +29,36 @@
     record.requestEndSequence = packet.sequence;
 }
 
-std::optional<ResponseQuality::ShortResponse> FlowProgress::processPacket(
-    Base::TimePoint now, FlowRecord& record, const PacketView& packet)
+FlowProgress::Progress FlowProgress::processPacket(Base::TimePoint now, FlowRecord& record, const PacketView& packet)
 {
     const bool hasResponse = packet.acknowledges && isAfter(packet.acknowledged, record.acknowledgedAtRequest);
     const auto dataEnd = packet.sequence + packet.dataBytes;
     const bool isNewData = packet.dataBytes > 0 && isAfter(dataEnd, record.requestEndSequence);
+    Progress progress { .startsResponse = hasResponse && record.isWithoutResponse() };
     if (packet.ends || packet.resets || hasResponse)
         stopCounting(record);
-    std::optional<ResponseQuality::ShortResponse> shortResponse;
     // A caller that sends its next request, or ends the flow, has received the whole response. One that ends the flow
     // without a response has abandoned its request; this counts as a response of 0 bytes.
     const bool isNextRequest = isNewData && hasResponse;
     if (record.isAwaitingResponse && (isNextRequest || (packet.ends && packet.acknowledges))) {
         const auto bytes = hasResponse ? packet.acknowledged - record.acknowledgedAtRequest : 0;
-        shortResponse = responseQuality_.recordResponse(now, packet.flow.service, record.server, bytes);
+        progress.shortResponse = responseQuality_.recordResponse(now, packet.flow.service, record.server, bytes);
         record.isAwaitingResponse = false;
     }
     if (!isNewData)
-        return shortResponse;
+        return progress;
     record.requestEndSequence = dataEnd;
     if (record.isAwaitingResponse)
-        return shortResponse;
+        return progress;
     record.isAwaitingResponse = true;
+    progress.startsRequest = true;
     record.acknowledgedAtRequest = packet.acknowledged;
     const auto index = servers_.find(record.server);
     if (!record.isCountedInFlight && index) {
         ++servers_.at(*index).ownInFlight;
         record.isCountedInFlight = true;
     }
-    return shortResponse;
+    return progress;
 }
 
 void FlowProgress::stopCounting(FlowRecord& record)
--- a/Libraries/LibSteering/Connection/FlowProgress.h
+++ b/Libraries/LibSteering/Connection/FlowProgress.h
@@ -20,9 +20,17 @@
     static void recordAttempt(FlowRecord&, Server&);
     /// The caller has completed the handshake with a server; its attempts at other servers no longer count.
     void recordOpened(FlowRecord&, Server&, const PacketView&);
-    /// Updates the record from a caller's packet of an open or ended flow. Returns a value if the packet ends a
-    /// response that starts a back-off period of the server.
-    std::optional<ResponseQuality::ShortResponse> processPacket(Base::TimePoint now, FlowRecord&, const PacketView&);
+    /// What a caller's packet of an open or ended flow shows.
+    struct Progress {
+        bool startsRequest { false };
+        /// The packet is the first that acknowledges a part of the response to the latest request.
+        bool startsResponse { false };
+        /// Set if the packet ends a response that starts a back-off period of the server.
+        std::optional<ResponseQuality::ShortResponse> shortResponse;
+    };
+
+    /// Updates the record from a caller's packet of an open or ended flow.
+    Progress processPacket(Base::TimePoint now, FlowRecord&, const PacketView&);
     /// Stops counting the flow as a request in flight.
     void stopCounting(FlowRecord&);
 
--- a/Libraries/LibSteering/Connection/FlowTable.h
+++ b/Libraries/LibSteering/Connection/FlowTable.h
@@ -39,6 +39,9 @@
     uint32_t requestEndSequence { 0 };
     /// A request was seen whose response has not been rated yet; see ResponseQuality.
     bool isAwaitingResponse { false };
+    /// When that request was first seen, and the node's total stall time then; see SteeringDecider.
+    Base::TimePoint requestSeenAt {};
+    Base::nanoseconds stallTimeAtRequest { 0 };
     Base::TimePoint firstSeen {};
     Base::TimePoint lastSeen {};
     /// Time of the latest connection attempt, and the node's total stall time then; see SteeringDecider.
@@ -46,6 +49,8 @@
     Base::nanoseconds stallTimeAtLastAttempt { 0 };
 
     bool wasAttemptedAt(BackendServerNumber) const;
+    /// Whether the flow is open and no part of the response to its latest request has been acknowledged.
+    bool isWithoutResponse() const { return state == FlowState::Open && isAwaitingResponse && isCountedInFlight; }
 };
 
 /// A bounded table of flow records. Each record is checked once per check interval.
--- a/Libraries/LibSteering/Events.cpp
+++ b/Libraries/LibSteering/Events.cpp
@@ -17,6 +17,8 @@
         return "no_token";
     case Refusal::UnknownToken:
         return "unknown_token";
+    case Refusal::ServerGone:
+        return "server_gone";
     }
     return "unknown";
 }
--- a/Libraries/LibSteering/Events.h
+++ b/Libraries/LibSteering/Events.h
@@ -89,13 +89,15 @@
     NoToken,
     /// The token identifies no backend server known here.
     UnknownToken,
+    /// The flow's backend server has ended or does not respond.
+    ServerGone,
 };
-constexpr std::size_t refusalCount = 6;
+constexpr std::size_t refusalCount = 7;
 std::string_view toString(Refusal);
 
 enum class VerdictKind : uint8_t {
     Forward,
-    /// Send the caller a reset, since its flow will not open.
+    /// Send the caller a reset, since its flow will not open, or its backend server is gone.
     Reset,
     Drop,
 };
@@ -109,6 +111,27 @@
     FlowToken token;
 };
 
+/// Asks for a TCP connection to a backend server, to determine whether it can be reached.
+struct ProbeRequest {
+    BackendServerNumber server;
+    Base::Ipv4Endpoint address;
+};
+
+/// The result of a ProbeRequest.
+struct ServerProbed {
+    BackendServerNumber server;
+    /// False if the address neither accepted nor refused the connection.
+    bool isReachable { false };
+};
+
+/// A reset to be sent to the caller of an open flow whose backend server is gone. It tells nothing about whether the
+/// caller's request was executed.
+struct FlowReset {
+    Packet::FlowKey flow;
+    /// What the caller has acknowledged; callers ignore a reset with a sequence number far from it.
+    uint32_t acknowledged { 0 };
+};
+
 /// A hedged connection attempt: a first packet that is sent to a further backend server.
 struct HedgedAttempt {
     FirstPacketBytes bytes;
--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -71,6 +71,8 @@
     serversByService_[server.service].push_back(index);
     byToken_[server.token].push_back(index);
     updateShadows(server.token);
+    byAddress_[server.entry.address].push_back(index);
+    updateSuperseded(server.entry.address);
 }
 
 void ServerTable::detach(ServerIndex index)
@@ -83,6 +85,21 @@
         byToken_.erase(server.token);
     else
         updateShadows(server.token);
+    auto& serversAtAddress = byAddress_[server.entry.address];
+    std::erase(serversAtAddress, index);
+    if (serversAtAddress.empty())
+        byAddress_.erase(server.entry.address);
+}
+
+void ServerTable::updateSuperseded(const Base::Ipv4Endpoint& address)
+{
+    const auto& serversAtAddress = byAddress_[address];
+    for (const auto index : serversAtAddress) {
+        auto& server = servers_[index];
+        // Once superseded, a server stays so, even if the later one is erased first.
+        server.isSuperseded |= std::ranges::any_of(serversAtAddress,
+            [&](ServerIndex other) { return servers_[other].entry.startedAt > server.entry.startedAt; });
+    }
 }
 
 void ServerTable::updateShadows(FlowToken token)
@@ -121,6 +138,8 @@
     if (isRestart) {
         server.consecutiveTimeouts = 0;
         server.suspectUntil = {};
+        server.unreachableAt = {};
+        server.isSuperseded = false;
         server.shortResponseShare = 0;
     }
     byNumber_[entry.number] = targetIndex;
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -34,6 +34,8 @@
     Presence presence { Presence::Free };
     /// Another server of the service has the same token and a smaller number.
     bool isShadowed { false };
+    /// A server that started later is registered at the same address, so that this one has ended.
+    bool isSuperseded { false };
     /// When an Unconfirmed server becomes Retired, or a Retired one is erased.
     Base::TimePoint presenceEndsAt {};
     Base::TimePoint coldUntil {};
@@ -41,6 +43,13 @@
     uint32_t consecutiveTimeouts { 0 };
     Base::TimePoint suspectUntil {};
     Base::TimePoint lastHandshakeAt {};
+    /// When a caller last completed a handshake or acknowledged a part of a response, as seen by this node.
+    Base::TimePoint lastResponseAt {};
+    /// State of the probes; see StalledFlows.
+    bool isProbePending { false };
+    Base::TimePoint lastProbeAt {};
+    /// When a probe last failed, if the server has not responded since.
+    Base::TimePoint unreachableAt {};
     /// Requests in flight from this node, and from its peers as reported.
     uint32_t ownInFlight { 0 };
     uint32_t peersInFlight { 0 };
@@ -103,6 +112,7 @@
     void attach(ServerIndex);
     void detach(ServerIndex);
     void updateShadows(FlowToken);
+    void updateSuperseded(const Base::Ipv4Endpoint& address);
     uint32_t indexOf(std::vector<std::string>& indexedNames, const std::string& name) const;
 
     Options options_;
@@ -110,6 +120,7 @@
     std::vector<ServerIndex> free_;
     boost::unordered_flat_map<BackendServerNumber, ServerIndex, std::hash<BackendServerNumber>> byNumber_;
     boost::unordered_flat_map<FlowToken, std::vector<ServerIndex>, std::hash<FlowToken>> byToken_;
+    boost::unordered_flat_map<Base::Ipv4Endpoint, std::vector<ServerIndex>, std::hash<Base::Ipv4Endpoint>> byAddress_;
     std::vector<std::string> services_;
     std::vector<std::vector<ServerIndex>> serversByService_;
     std::vector<std::string> domains_;
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -72,6 +72,7 @@
     , flows_({ .maximumFlows = options.maximumFlows })
     , responseQuality_({}, servers_)
     , progress_(servers_, responseQuality_)
+    , stalledFlows_(flows_, servers_)
     , handshakeTime_(initialHandshakeTime)
 {
 }
@@ -311,9 +312,38 @@
         else if (isOver)
             record->state = FlowState::Ended;
     }
+    if (packet.dataBytes > 0 && !packet.resets && stalledFlows_.isGone(now, servers_.at(*index))) {
+        stalledFlows_.recordReset(now, *index);
+        if (record = flows_.find(packet.flow); record != nullptr)
+            abandonRequest(*record);
+        return refuse(packet, Refusal::ServerGone, VerdictKind::Reset);
+    }
     return forwardTo(servers_.at(*index));
 }
 
+void SteeringDecider::abandonRequest(FlowRecord& record)
+{
+    progress_.stopCounting(record);
+    record.isAwaitingResponse = false;
+}
+
+std::vector<FlowReset> SteeringDecider::takeResets()
+{
+    auto resets = stalledFlows_.takeResets();
+    for (const auto& reset : resets) {
+        if (auto* record = flows_.find(reset.flow); record != nullptr)
+            abandonRequest(*record);
+        refuse({ .flow = reset.flow, .acknowledged = reset.acknowledged }, Refusal::ServerGone, VerdictKind::Reset);
+    }
+    return resets;
+}
+
+void SteeringDecider::handleProbe(Base::TimePoint now, const ServerProbed& result)
+{
+    statistics_.failedProbes += result.isReachable ? 0 : 1;
+    stalledFlows_.handleProbe(now, result);
+}
+
 void SteeringDecider::completeHandshake(
     Base::TimePoint now, FlowRecord& record, const PacketView& packet, const CompiledRoute& route)
 {
@@ -327,6 +357,8 @@
     server.consecutiveTimeouts = 0;
     server.suspectUntil = {};
     server.lastHandshakeAt = now;
+    server.lastResponseAt = now;
+    server.unreachableAt = {};
     reachability_.recordResponse(server.domain);
     readiness_.recordResponse();
     ++statistics_.opened;
@@ -343,7 +375,12 @@
 
 void SteeringDecider::trackOpenFlow(Base::TimePoint now, FlowRecord& record, const PacketView& packet)
 {
-    const auto shortResponse = progress_.processPacket(now, record, packet);
+    const auto progress = progress_.processPacket(now, record, packet);
+    if (progress.startsResponse)
+        stalledFlows_.recordResponse(now, totalStallTime_, record);
+    if (progress.startsRequest)
+        stalledFlows_.recordRequest(now, totalStallTime_, packet.flow, record);
+    const auto& shortResponse = progress.shortResponse;
     if (!shortResponse)
         return;
     ++statistics_.shortResponses;
@@ -372,6 +409,7 @@
     ++statistics_.attemptTimeouts;
     auto& server = servers_.at(*index);
     ++server.consecutiveTimeouts;
+    stalledFlows_.recordAttemptTimeout(now, server);
     reachability_.recordTimeout(now, server.domain);
     readiness_.recordTimeout(now, reachability_.totalConsecutiveTimeouts());
     const bool isLikelyPacketLoss
@@ -442,6 +480,7 @@
         if (auto attempt = hedge(now, pending))
             dueAttempts.push_back(*attempt);
     }
+    stalledFlows_.runDueChecks(now, totalStallTime_);
     if (now < nextExpiry_)
         return dueAttempts;
     nextExpiry_ = now + expiryInterval;
@@ -462,8 +501,8 @@
 
 Base::TimePoint SteeringDecider::nextTimer(Base::TimePoint now) const
 {
-    const auto expiry = std::max(now, nextExpiry_);
-    return pendingHedges_.empty() ? expiry : std::min(expiry, dueAtWithStalls(pendingHedges_.front()));
+    const auto due = std::max(now, std::min(nextExpiry_, stalledFlows_.nextCheck()));
+    return pendingHedges_.empty() ? due : std::min(due, dueAtWithStalls(pendingHedges_.front()));
 }
 
 std::vector<ServerLoad> SteeringDecider::ownLoads()
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -6,6 +6,7 @@
 
 #include <LibSteering/Connection/FlowProgress.h>
 #include <LibSteering/Connection/FlowTable.h>
+#include <LibSteering/Connection/StalledFlows.h>
 #include <LibSteering/Events.h>
 #include <LibSteering/Process/DomainReachability.h>
 #include <LibSteering/Process/EntryVmPresence.h>
@@ -42,6 +43,8 @@
     uint64_t neverOpened { 0 };
     uint64_t attemptTimeouts { 0 };
     uint64_t resets { 0 };
+    /// Probes that a backend server's host did not answer.
+    uint64_t failedProbes { 0 };
     /// Histogram of the times from first packets to completed handshakes; the last bucket has no upper bound.
     std::array<uint64_t, handshakeBounds.size() + 1> handshakes {};
     Base::microseconds handshakeSum { 0 };
@@ -112,6 +115,12 @@
     void recordStall(Base::nanoseconds time) { totalStallTime_ += time; }
     /// Does what is due, and returns the hedged connection attempts to be sent.
     std::vector<HedgedAttempt> handleTimers(Base::TimePoint now);
+    /// Resets for the callers of open flows whose servers turned out to be gone. Call after handleTimers and
+    /// handleProbe.
+    std::vector<FlowReset> takeResets();
+    /// Probes to be made. Each must be answered by a call of handleProbe.
+    std::vector<ProbeRequest> takeProbes() { return stalledFlows_.takeProbes(); }
+    void handleProbe(Base::TimePoint now, const ServerProbed&);
     /// When handleTimers must be called again at the latest.
     Base::TimePoint nextTimer(Base::TimePoint now) const;
 
@@ -162,6 +171,8 @@
     void completeHandshake(Base::TimePoint now, FlowRecord&, const PacketView&, const CompiledRoute&);
     /// Updates the state of an open or ended flow from a packet of its caller.
     void trackOpenFlow(Base::TimePoint now, FlowRecord&, const PacketView&);
+    /// Stops tracking the flow's request, whose caller gets a reset.
+    void abandonRequest(FlowRecord&);
     std::optional<Choice> choose(Base::TimePoint now, const Packet::FlowKey&, const CompiledRoute&, const FlowRecord&);
     Verdict startAttempt(Base::TimePoint now, FlowRecord&, const Choice&);
     Verdict forwardTo(const Server&);
@@ -188,6 +199,7 @@
     FlowTable flows_;
     ResponseQuality responseQuality_;
     FlowProgress progress_;
+    StalledFlows stalledFlows_;
     Readiness readiness_;
     bool isSynchronized_ { false };
     std::shared_ptr<const Configuration> configuration_;
--- a/Tests/LibSteering/Fixture.h
+++ b/Tests/LibSteering/Fixture.h
@@ -34,6 +34,26 @@
         now_ += time;
         for (const auto& hedge : decider_.handleTimers(now_))
             hedgedAttempts_.push_back(hedge);
+        for (const auto& probe : decider_.takeProbes())
+            probes_.push_back(probe);
+        for (const auto& reset : decider_.takeResets())
+            resets_.push_back(reset);
+    }
+
+    /// Opens a flow and returns its server.
+    Steering::Verdict openFlow(uint16_t callerPort)
+    {
+        const auto first = sendFirst(callerPort);
+        advance(milliseconds(8));
+        send(callerPort, first.token);
+        return first;
+    }
+
+    /// Delivers the result of a probe.
+    void answerProbe(Steering::BackendServerNumber server, bool isReachable)
+    {
+        decider_.handleProbe(now_, { .server = server, .isReachable = isReachable });
+        advance(milliseconds(0));
     }
 
     void configure(uint64_t revision = 10, const std::vector<uint16_t>& ports = { 443 })
@@ -146,5 +166,7 @@
     std::vector<std::string> regions_;
     std::vector<Steering::FlowDecision> decisions_;
     std::vector<Steering::HedgedAttempt> hedgedAttempts_;
+    std::vector<Steering::ProbeRequest> probes_;
+    std::vector<Steering::FlowReset> resets_;
     Steering::SteeringDecider decider_;
 };
