LibSteering: Follow requests of flows that another node opened

Cause: after a restart or a change of the fabric's rotation, flows arrive at nodes that never saw their first packet.

Change: a request on such a flow makes a record. The packet's token, not the record, goes on deciding where it is sent, since only the first node knows which of two servers the caller accepted. Moved out of SteeringDecider, which had grown: HedgeQueue, FlowDecision.

--- a/Libraries/LibSteering/Connection/FlowTable.h
+++ b/Libraries/LibSteering/Connection/FlowTable.h
@@ -23,11 +23,14 @@
     Ended,
 };
 
-/// State of a flow on the node that saw its first packet. Other nodes need only the token.
+/// State of a flow on the node that saw its first packet, or a later request. To forward packets, other nodes need only
+/// the token.
 struct FlowRecord {
     std::array<BackendServerNumber, maximumConnectionAttempts> attemptedServers {};
     uint8_t attemptCount { 0 };
     FlowState state { FlowState::Opening };
+    /// Another node saw the first packet.
+    bool isAdopted { false };
     /// Whether the flow counts as a request in flight, at each attempted server (Opening) or at its server (Open).
     bool isCountedInFlight { false };
     /// The server with which the handshake was completed.
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -1,23 +1,11 @@
 #include <LibSteering/SteeringDecider.h>
 
 #include <algorithm>
-#include <cstring>
 
 namespace Steering {
 
 namespace {
 
-    /// Handshakes take one round trip to the caller, a few milliseconds on known fabrics. The initial value is long, so
-    /// that no hedged attempt is made before the actual time is known.
-    constexpr Base::milliseconds initialHandshakeTime { 20 };
-    /// A hedged attempt costs a connection at a server, a lost first packet costs its caller 200 ms. After three usual
-    /// handshake times, one hedged attempt in a hundred is unnecessary.
-    constexpr int hedgeDelayFactor = 3;
-    constexpr Base::milliseconds minimumHedgeDelay { 25 };
-    constexpr Base::milliseconds maximumHedgeDelay { 150 };
-    /// A new sample has one eighth of the weight in the smoothed handshake time, as in TCP's round-trip time estimate.
-    constexpr int handshakeSmoothingDivisor = 8;
-
     /// A single lost packet does not make a server suspect if it completed a handshake this recently.
     constexpr Base::milliseconds recentHandshakeLimit { 1000 };
     constexpr Base::milliseconds minimumSuspicionTime { 500 };
@@ -36,27 +24,6 @@
 
 }
 
-std::string_view toString(FlowDecision::Kind kind)
-{
-    switch (kind) {
-    case FlowDecision::Kind::Placed:
-        return "placed";
-    case FlowDecision::Kind::Retransmitted:
-        return "copied";
-    case FlowDecision::Kind::Hedged:
-        return "reoffered";
-    case FlowDecision::Kind::Opened:
-        return "opened";
-    case FlowDecision::Kind::Refused:
-        return "refused";
-    case FlowDecision::Kind::NeverOpened:
-        return "never_opened";
-    case FlowDecision::Kind::ShortResponse:
-        return "short_answer";
-    }
-    return "unknown";
-}
-
 SteeringDecider::SteeringDecider(const Options& options)
     : options_(options)
     , servers_({ .retention = options.flowLifetime })
@@ -73,7 +40,6 @@
     , responseQuality_({}, servers_)
     , progress_(servers_, responseQuality_)
     , stalledFlows_(flows_, servers_)
-    , handshakeTime_(initialHandshakeTime)
 {
 }
 
@@ -235,7 +201,7 @@
     Base::TimePoint now, const PacketView& packet, const CompiledRoute& route, std::span<const std::byte> bytes)
 {
     auto* record = flows_.find(packet.flow);
-    if (record != nullptr && record->firstSequence != packet.sequence) {
+    if (record != nullptr && (record->isAdopted || record->firstSequence != packet.sequence)) {
         // The caller has reused its port.
         progress_.stopCounting(*record);
         flows_.erase(packet.flow);
@@ -278,19 +244,39 @@
         progress_.stopCounting(untracked);
         return verdict;
     }
-    if (bytes.size() == FirstPacketBytes {}.size()) {
-        PendingHedge pending { .flow = packet.flow, .sequence = packet.sequence };
-        std::memcpy(pending.bytes.data(), bytes.data(), bytes.size());
-        pending.dueAt = now + hedgeDelay();
-        pending.stallTimeAtAttempt = totalStallTime_;
-        pendingHedges_.push_back(pending);
-    }
+    hedges_.add(now, totalStallTime_, packet, bytes);
     return verdict;
 }
 
-Verdict SteeringDecider::decideLaterPacket(Base::TimePoint now, const PacketView& packet, const CompiledRoute& route)
+FlowRecord* SteeringDecider::recordFor(Base::TimePoint now, const PacketView& packet, const CompiledRoute& route)
 {
     auto* record = flows_.find(packet.flow);
+    const bool isRequest = packet.dataBytes > 0 && !packet.ends && !packet.resets;
+    if (record != nullptr ? !record->isAdopted : !isRequest)
+        return record;
+    const auto index = servers_.resolve(packet.token, route.services);
+    if (!index || (record != nullptr && record->server == servers_.at(*index).entry.number))
+        return index ? record : nullptr;
+    // Only the node that saw the handshake knows which server the caller accepted; here the token of each packet
+    // decides.
+    if (record != nullptr)
+        progress_.stopCounting(*record);
+    else
+        record = flows_.add(now, packet.flow);
+    if (record == nullptr)
+        return nullptr;
+    record->isAdopted = true;
+    record->state = FlowState::Open;
+    record->server = servers_.at(*index).entry.number;
+    record->isAwaitingResponse = false;
+    record->requestEndSequence = packet.sequence;
+    record->acknowledgedAtRequest = packet.acknowledged;
+    return record;
+}
+
+Verdict SteeringDecider::decideLaterPacket(Base::TimePoint now, const PacketView& packet, const CompiledRoute& route)
+{
+    auto* record = recordFor(now, packet, route);
     if (record != nullptr && record->state == FlowState::Opening)
         completeHandshake(now, *record, packet, route);
     std::optional<ServerIndex> index;
@@ -307,7 +293,7 @@
         trackOpenFlow(now, *record, packet);
         // After a single connection attempt the token alone suffices for the packets that follow.
         const bool isOver = packet.ends || packet.resets;
-        if (isOver && record->attemptCount == 1)
+        if (isOver && record->attemptCount <= 1)
             flows_.erase(packet.flow);
         else if (isOver)
             record->state = FlowState::Ended;
@@ -368,7 +354,7 @@
     ++statistics_.handshakes[static_cast<std::size_t>(bucket)];
     statistics_.handshakeSum += sample;
     if (record.attemptCount == 1)
-        handshakeTime_ += (sample - handshakeTime_) / handshakeSmoothingDivisor;
+        hedges_.recordHandshake(sample);
     else
         reportDecision(FlowDecision::Kind::Opened, packet.flow, record, now, nullptr);
 }
@@ -401,7 +387,7 @@
 {
     // A caller's retransmission may arrive while the response to its first packet is still unread.
     const auto elapsedWithoutStalls = now - record.lastAttemptAt - (totalStallTime_ - record.stallTimeAtLastAttempt);
-    if (record.attemptCount == 0 || elapsedWithoutStalls < hedgeDelay())
+    if (record.attemptCount == 0 || elapsedWithoutStalls < hedges_.delay())
         return;
     const auto index = servers_.find(record.attemptedServers[record.attemptCount - 1]);
     if (!index)
@@ -421,17 +407,7 @@
         = std::max(server.suspectUntil, now + std::min(maximumSuspicionTime, minimumSuspicionTime * (1 << doublings)));
 }
 
-Base::microseconds SteeringDecider::hedgeDelay() const
-{
-    return std::clamp<Base::microseconds>(handshakeTime_ * hedgeDelayFactor, minimumHedgeDelay, maximumHedgeDelay);
-}
-
-Base::TimePoint SteeringDecider::dueAtWithStalls(const PendingHedge& pending) const
-{
-    return pending.dueAt + (totalStallTime_ - pending.stallTimeAtAttempt);
-}
-
-std::optional<HedgedAttempt> SteeringDecider::hedge(Base::TimePoint now, const PendingHedge& pending)
+std::optional<HedgedAttempt> SteeringDecider::hedge(Base::TimePoint now, const HedgeQueue::Pending& pending)
 {
     auto* record = flows_.find(pending.flow);
     const bool isOpening = record != nullptr && record->state == FlowState::Opening
@@ -474,10 +450,8 @@
 std::vector<HedgedAttempt> SteeringDecider::handleTimers(Base::TimePoint now)
 {
     std::vector<HedgedAttempt> dueAttempts;
-    while (!pendingHedges_.empty() && dueAtWithStalls(pendingHedges_.front()) <= now) {
-        const auto pending = pendingHedges_.front();
-        pendingHedges_.pop_front();
-        if (auto attempt = hedge(now, pending))
+    while (const auto pending = hedges_.popDue(now, totalStallTime_)) {
+        if (auto attempt = hedge(now, *pending))
             dueAttempts.push_back(*attempt);
     }
     stalledFlows_.runDueChecks(now, totalStallTime_);
@@ -501,8 +475,7 @@
 
 Base::TimePoint SteeringDecider::nextTimer(Base::TimePoint now) const
 {
-    const auto due = std::max(now, std::min(nextExpiry_, stalledFlows_.nextCheck()));
-    return pendingHedges_.empty() ? due : std::min(due, dueAtWithStalls(pendingHedges_.front()));
+    return std::max(now, std::min({ nextExpiry_, stalledFlows_.nextCheck(), hedges_.nextDue(totalStallTime_) }));
 }
 
 std::vector<ServerLoad> SteeringDecider::ownLoads()
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -7,7 +7,7 @@
 #include <LibSteering/Connection/FlowProgress.h>
 #include <LibSteering/Connection/FlowTable.h>
 #include <LibSteering/Connection/StalledFlows.h>
-#include <LibSteering/Events.h>
+#include <LibSteering/FlowDecision.h>
 #include <LibSteering/Process/DomainReachability.h>
 #include <LibSteering/Process/EntryVmPresence.h>
 #include <LibSteering/Process/PeerLoads.h>
@@ -16,10 +16,10 @@
 #include <LibSteering/Process/ResponseQuality.h>
 #include <LibSteering/Process/ServerTable.h>
 #include <LibSteering/Process/WarmUpAllowance.h>
+#include <LibSteering/Request/HedgeQueue.h>
 #include <LibSteering/Request/ServerChoice.h>
 #include <LibSteering/Version/RouteTable.h>
 #include <array>
-#include <deque>
 #include <functional>
 #include <map>
 
@@ -55,36 +55,6 @@
     std::array<uint64_t, 3> chosen {};
 };
 
-/// One decision about a flow, for the log.
-struct FlowDecision {
-    enum class Kind : uint8_t {
-        Placed,
-        Retransmitted,
-        Hedged,
-        Opened,
-        Refused,
-        NeverOpened,
-        ShortResponse,
-    };
-
-    Kind kind { Kind::Placed };
-    Packet::FlowKey flow;
-    uint32_t sequence { 0 };
-    BackendServerNumber server;
-    ChoiceTier tier { ChoiceTier::Sound };
-    Refusal refusal { Refusal::None };
-    uint32_t ownInFlight { 0 };
-    uint32_t peersInFlight { 0 };
-    uint64_t configurationVersion { 0 };
-    /// Time since the flow's first packet.
-    Base::microseconds age { 0 };
-    /// For ShortResponse: the bytes that the caller acknowledged, the usual length, and the back-off period.
-    uint32_t responseBytes { 0 };
-    uint32_t usualResponseBytes { 0 };
-    Base::milliseconds backOffTime { 0 };
-};
-std::string_view toString(FlowDecision::Kind);
-
 class SteeringDecider {
 public:
     struct Options {
@@ -146,15 +116,6 @@
 private:
     using CompiledRoute = RouteTable::CompiledRoute;
 
-    struct PendingHedge {
-        Packet::FlowKey flow;
-        uint32_t sequence { 0 };
-        FirstPacketBytes bytes {};
-        Base::TimePoint dueAt;
-        /// The total stall time when the packet was forwarded.
-        Base::nanoseconds stallTimeAtAttempt { 0 };
-    };
-
     void apply(Base::TimePoint now, const ConfigurationChanged&);
     void apply(Base::TimePoint now, const ServerListed&);
     void apply(Base::TimePoint now, const ServerUnlisted&);
@@ -167,6 +128,9 @@
 
     Verdict decideFirstPacket(
         Base::TimePoint now, const PacketView&, const CompiledRoute&, std::span<const std::byte> bytes);
+    /// The record of a later packet's flow. Creates one if the packet carries a request of a flow that another node
+    /// opened; returns nullptr if there is none.
+    FlowRecord* recordFor(Base::TimePoint now, const PacketView&, const CompiledRoute&);
     Verdict decideLaterPacket(Base::TimePoint now, const PacketView&, const CompiledRoute&);
     void completeHandshake(Base::TimePoint now, FlowRecord&, const PacketView&, const CompiledRoute&);
     /// Updates the state of an open or ended flow from a packet of its caller.
@@ -178,10 +142,7 @@
     Verdict forwardTo(const Server&);
     Verdict refuse(const PacketView&, Refusal, VerdictKind);
     void recordAttemptTimeout(Base::TimePoint now, const FlowRecord&);
-    /// When a pending hedge is due, postponed by the stall time since the packet was forwarded.
-    Base::TimePoint dueAtWithStalls(const PendingHedge&) const;
-    Base::microseconds hedgeDelay() const;
-    std::optional<HedgedAttempt> hedge(Base::TimePoint now, const PendingHedge&);
+    std::optional<HedgedAttempt> hedge(Base::TimePoint now, const HedgeQueue::Pending&);
     bool checkRecord(Base::TimePoint now, const Packet::FlowKey&, FlowRecord&);
     void reportDecision(
         FlowDecision::Kind, const Packet::FlowKey&, const FlowRecord&, Base::TimePoint now, const Choice*);
@@ -205,9 +166,7 @@
     std::shared_ptr<const Configuration> configuration_;
     RouteTable routes_;
     std::vector<Base::EntryVmId> peerIds_;
-    std::deque<PendingHedge> pendingHedges_;
-    /// Smoothed time from a first packet to the completed handshake.
-    Base::microseconds handshakeTime_;
+    HedgeQueue hedges_;
     Base::nanoseconds totalStallTime_ { 0 };
     Base::TimePoint nextExpiry_ {};
     SteeringStatistics statistics_;
--- a/Tests/EntryProcesses/TestDisturbances.cpp
+++ b/Tests/EntryProcesses/TestDisturbances.cpp
@@ -101,6 +101,8 @@
     CHECK(metric(endpoint, "eelgrasshatch_log_lines_dropped_total") > 0);
     const auto served = fleet.invariants().servedCount();
     CHECK(fleet.runUntil(conditionTimeout, [&] { return fleet.invariants().servedCount() > served + 200; }));
+    for (const auto& exit : fleet.deployment().unexpectedExits())
+        UNSCOPED_INFO(exit);
     CHECK(fleet.deployment().unexpectedExits().empty());
     // Twice the memory of an ordinary run; the queue must stay bounded.
     CHECK(residentKilobytes(fleet.deployment().process(0).processId()) < 40'000);
--- a/Tests/LibSteering/TestStalledFlows.cpp
+++ b/Tests/LibSteering/TestStalledFlows.cpp
@@ -74,6 +74,32 @@
     CHECK(sendFirst(600).number == number(2));
 }
 
+TEST_CASE_METHOD(StalledFlowsFixture, "a stalled request of a flow that another node opened is reset as well")
+{
+    CHECK(sendData(500, token(1), 2001, 701).kind == VerdictKind::Forward);
+    CHECK(decider_.ownLoads().size() == 1);
+    advance(milliseconds(120));
+    REQUIRE(probes_.size() == 1);
+    answerProbe(number(1), false);
+    REQUIRE(resets_.size() == 1);
+    CHECK(resets_[0].flow == flow(500));
+    CHECK(resets_[0].acknowledged == 701);
+    CHECK(decider_.ownLoads().empty());
+}
+
+TEST_CASE_METHOD(StalledFlowsFixture, "the token decides where packets go of a flow that another node opened")
+{
+    CHECK(sendData(500, token(1), 2001, 701).number == number(1));
+    CHECK(sendData(500, token(2), 2001, 701).number == number(2));
+    REQUIRE(decider_.ownLoads().size() == 1);
+    CHECK(decider_.ownLoads()[0].number == number(2));
+    // The response ends the request, and a first packet starts a new flow.
+    send(500, token(2), 901);
+    CHECK(decider_.ownLoads().empty());
+    CHECK(sendFirst(500, 443, 0).kind == VerdictKind::Forward);
+    CHECK(decider_.statistics().firstPackets == 1);
+}
+
 TEST_CASE_METHOD(StalledFlowsFixture, "a slow server that accepts the probe keeps its flows")
 {
     openFlowAt(1);
