LibSteering, LibEntry: Let one entry VM in eight read all records at a mass start

Change: the first page names the other entry VMs. The first in rank of each eight in a failure domain read on (InitialReaders); the rest ask them, and read on after 1.2 s without an answer or while the answer is older than their page. A relay hands out the complete state that it encoded within the last half second. After a start, peers that have not reported yet count as running for 0.7 s, so that not everybody watches the store.

--- a/Libraries/LibEntry/CatchUpThread.cpp
+++ b/Libraries/LibEntry/CatchUpThread.cpp
@@ -14,7 +14,7 @@
     /// The store responds to the first call within a few milliseconds.
     constexpr Base::milliseconds initialStoreTimeout { 150 };
     constexpr Base::milliseconds responseTimeout { 500 };
-    constexpr Base::milliseconds unsynchronizedRetryInterval { 250 };
+    constexpr Base::milliseconds unsynchronizedRetryInterval { 100 };
     constexpr Base::milliseconds synchronizedRetryInterval { 5000 };
     /// Responses are split into parts of about 128 KiB, but a single record may be 1 MB.
     constexpr std::size_t maximumResponseBytes = std::size_t { 4 } * 1024 * 1024;
@@ -35,6 +35,15 @@
     seeds_ = std::move(seeds);
 }
 
+void CatchUpThread::askInitially(std::vector<Base::EntryVmId> peers)
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        initialPeers_ = std::move(peers);
+    }
+    worker_.wake();
+}
+
 void CatchUpThread::start()
 {
     worker_.start([this] { run(); });
@@ -69,7 +78,11 @@
     const std::scoped_lock lock(mutex_);
     if (newestRevision_ > feed_.revision())
         return { .peer = newestPeer_, .isUrgent = isUrgent_ };
-    if (feed_.isSynchronized() || seeds_.empty())
+    if (feed_.isSynchronized())
+        return {};
+    if (!initialPeers_.empty())
+        return { .peer = initialPeers_[nextInitialPeer_++ % initialPeers_.size()], .isUrgent = true };
+    if (seeds_.empty())
         return {};
     const auto seed = seeds_[nextSeed_++ % seeds_.size()];
     if (Base::EntryVmId::fromEndpoint(seed) == settings_.identity())
--- a/Libraries/LibEntry/CatchUpThread.h
+++ b/Libraries/LibEntry/CatchUpThread.h
@@ -21,6 +21,8 @@
 
     /// Peers to fetch from until the first complete state is received. Any thread.
     void setSeeds(std::vector<Base::Ipv4Endpoint>);
+    /// Peers that are asked in place of the seeds until the first complete state is received. Any thread.
+    void askInitially(std::vector<Base::EntryVmId>);
     /// Makes the peer the candidate to fetch from if it has the newest revision. isUrgent: neither the store nor a
     /// nearer peer will send the records, so they are fetched without delay. Any thread.
     void updateCandidatePeer(Base::EntryVmId, uint64_t revision, bool isUrgent);
@@ -50,6 +52,8 @@
     Base::Random random_;
     std::vector<Base::Ipv4Endpoint> seeds_;
     std::size_t nextSeed_ { 0 };
+    std::vector<Base::EntryVmId> initialPeers_;
+    std::size_t nextInitialPeer_ { 0 };
     /// Connection to the peer of the last fetch.
     std::optional<Peer::QueryClient> client_;
     Base::EntryVmId clientPeer_;
--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -47,7 +47,7 @@
           .self = settings.identity(),
           .onOwnRecordRemoved = [this] { registration_.scheduleRecordRewrite(); } })
     , catchUp_(settings, feed_)
-    , store_(settings, feed_, storeCounters_)
+    , store_(settings, feed_, catchUp_, storeCounters_)
     , registration_(settings, storeCounters_)
 {
 }
--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -85,11 +85,14 @@
 inline constexpr Event storeWatchEnded { 5038, "store_watch_ended", Level::Info,
     "Another entry VM of the failure domain watches the store; this one receives records from it." };
 
+inline constexpr Event storeReadDeferred { 5039, "store_read_deferred", Level::Info,
+    "The first page of the store's records was read; the records are fetched from peers that read all of them." };
+
 /// All events of entryd, in the order of their numbers.
 inline constexpr std::array all { flowPlaced, flowAttemptedAgain, flowOpenedLate, flowRefused, flowNeverOpened,
     requestSeen, responseShort, packetMalformed, readinessChanged, leaving, left, processPaused, configurationInForce,
     serverListed, serverUnlisted, domainEvacuated, recordRefused, peerListed, peerUnlisted, stateSynchronized,
     serverUnreachable, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp, peerFetchFailed,
-    storeWatchStarted, storeWatchEnded };
+    storeWatchStarted, storeWatchEnded, storeReadDeferred };
 
 }
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -374,7 +374,9 @@
 
 void PacketThread::updateWatcherRole(Base::TimePoint now)
 {
-    store_.setWatching(watcherChoice_.isWatcher(now, decider_.peers()));
+    if (!synchronizedAt_ && decider_.isComplete())
+        synchronizedAt_ = now;
+    store_.setWatching(watcherChoice_.isWatcher(now, decider_.peers(), synchronizedAt_.value_or(now)));
     const auto view = store_.view();
     if (view == Steering::StoreView::NotWatching) {
         feed_.setStoreReachable(
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -128,6 +128,8 @@
     /// Start of the last round, on CLOCK_BOOTTIME, which advances while the machine is suspended.
     Base::TimePoint lastRoundAt_ {};
     Base::TimePoint startedAt_ {};
+    /// When the first complete state was applied.
+    std::optional<Base::TimePoint> synchronizedAt_;
     /// When the next round should begin at the latest; a later begin means that received packets were left unread.
     Base::TimePoint expectedRoundStart_ {};
     mutable std::mutex statisticsMutex_;
--- a/Libraries/LibEntry/RelayThread.cpp
+++ b/Libraries/LibEntry/RelayThread.cpp
@@ -11,6 +11,7 @@
     /// A single record of the store's maximum size must fit.
     constexpr std::size_t sendQueueBytesLimit = std::size_t { 4 } * 1024 * 1024;
     constexpr Base::milliseconds pollTimeout { 200 };
+    constexpr Base::milliseconds completeStateLifetime { 500 };
 
 }
 
@@ -42,6 +43,8 @@
     // An empty response does not decode, so that the client tries another peer.
     if (!request.isOk() || !feed_.isSynchronized())
         return {};
+    if (request.value->after == 0)
+        return completeState();
     const auto revision = feed_.revision();
     if (cachedResponse_.empty() || cachedAfter_ != request.value->after || cachedRevision_ != revision) {
         cachedResponse_ = Mirror::encodeBatch(feed_.changesAfter(request.value->after, responseBytesLimit));
@@ -51,4 +54,14 @@
     return cachedResponse_;
 }
 
+const std::vector<std::byte>& RelayThread::completeState()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (completeState_.empty() || now - completeStateAt_ > completeStateLifetime) {
+        completeState_ = Mirror::encodeBatch(feed_.changesAfter(0, responseBytesLimit));
+        completeStateAt_ = now;
+    }
+    return completeState_;
+}
+
 }
--- a/Libraries/LibEntry/RelayThread.h
+++ b/Libraries/LibEntry/RelayThread.h
@@ -24,6 +24,8 @@
     }
 
     std::vector<std::byte> handleRequest(std::span<const std::byte> payload);
+    /// The complete state, at most half a second old: after a mass start several peers ask for it within that time.
+    const std::vector<std::byte>& completeState();
 
     StateFeed& feed_;
     std::unique_ptr<Peer::PeerTransport> transport_;
@@ -31,6 +33,8 @@
     uint64_t cachedAfter_ { 0 };
     uint64_t cachedRevision_ { 0 };
     std::vector<std::byte> cachedResponse_;
+    std::vector<std::byte> completeState_;
+    Base::TimePoint completeStateAt_ {};
     Worker worker_;
 };
 
--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -2,8 +2,10 @@
 
 #include <LibEntry/Events.h>
 #include <LibLog/Log.h>
+#include <LibSteering/Process/InitialReaders.h>
 #include <algorithm>
 #include <platform/Names.h>
+#include <platform/RecordDecoder.h>
 
 namespace Entry {
 
@@ -18,12 +20,34 @@
     constexpr Base::milliseconds watchTimeoutAfterFailure { 200 };
     constexpr Base::milliseconds idleCheckInterval { 5000 };
     constexpr Base::milliseconds changeBatchingInterval { 250 };
+    /// The entry VMs that read all records do so within a second, also on narrow links.
+    constexpr Base::milliseconds initialPeerTimeout { 1200 };
+    constexpr Base::milliseconds synchronizationCheckInterval { 50 };
+
+    std::vector<Steering::InitialReaders::EntryVm> listedEntryVms(
+        const Mirror::ChangeBatch& page, const std::string& failureDomain)
+    {
+        std::vector<Steering::InitialReaders::EntryVm> listed;
+        for (const auto& record : page.records) {
+            if (!record.key.starts_with(Platform::Names::entryVmPrefix))
+                continue;
+            const auto event = Base::capture([&] { return Platform::decodeRecord(record); });
+            if (!event.isOk() || !*event.value)
+                continue;
+            const auto* peer = std::get_if<Steering::PeerListed>(&**event.value);
+            if (peer != nullptr && peer->failureDomain == failureDomain)
+                listed.push_back({ .id = peer->peer, .linkMegabits = peer->linkMegabits });
+        }
+        return listed;
+    }
 
 }
 
-StoreThread::StoreThread(const EntrySettings& settings, StateFeed& feed, StoreCounters& counters)
+StoreThread::StoreThread(
+    const EntrySettings& settings, StateFeed& feed, CatchUpThread& catchUp, StoreCounters& counters)
     : settings_(settings)
     , feed_(feed)
+    , catchUp_(catchUp)
     , counters_(counters)
     , client_({ .store = settings.store.endpoint, .timeout = settings.store.callTimeout })
     , random_(Base::hashText(settings.name))
@@ -44,7 +68,7 @@
 void StoreThread::run()
 {
     while (!worker_.isStopping()) {
-        if (feed_.isSynchronized() && !watching_.load()) {
+        if (feed_.isSynchronized() && !watching_.load() && !isBehindPages()) {
             pauseWatching();
             continue;
         }
@@ -70,7 +94,7 @@
 
 bool StoreThread::readOrWatch()
 {
-    if (!feed_.isSynchronized() || isHistoryGone_)
+    if (!feed_.isSynchronized() || isHistoryGone_ || isBehindPages())
         return readNextPage();
     // A peer may have supplied the complete state first.
     partialSnapshot_.reset();
@@ -88,10 +112,13 @@
     }
     handleCallSuccess();
     const bool hasMore = page.value.hasMore;
-    if (!partialSnapshot_)
+    const bool isFirstPage = !partialSnapshot_;
+    if (isFirstPage)
         partialSnapshot_ = std::move(page.value);
     else
         std::ranges::move(page.value.records, std::back_inserter(partialSnapshot_->records));
+    if (hasMore && isFirstPage && !feed_.isSynchronized())
+        waitForPeers(*partialSnapshot_);
     if (hasMore)
         return true;
     // The batch carries the first page's revision; later changes are received again through the watch.
@@ -102,6 +129,23 @@
     return true;
 }
 
+void StoreThread::waitForPeers(const Mirror::ChangeBatch& firstPage)
+{
+    const Steering::InitialReaders readers(
+        { .id = settings_.identity(), .linkMegabits = static_cast<uint64_t>(settings_.limits.linkMegabits) });
+    const auto selection = readers.select(listedEntryVms(firstPage, settings_.failureDomain));
+    if (selection.isReader)
+        return;
+    Log::write(Events::storeReadDeferred, Log::Fields().add("peers", selection.peers.size()));
+    catchUp_.askInitially(selection.peers);
+    const auto deadline = std::chrono::steady_clock::now() + initialPeerTimeout;
+    const auto isCurrent = [&] { return feed_.isSynchronized() && !isBehindPages(); };
+    while (!isCurrent() && !worker_.isStopping() && std::chrono::steady_clock::now() < deadline)
+        worker_.pause(synchronizationCheckInterval);
+}
+
+bool StoreThread::isBehindPages() const { return partialSnapshot_ && feed_.revision() < partialSnapshot_->upTo; }
+
 bool StoreThread::watch()
 {
     // After a failure, a long watch would delay noticing whether the store responds again.
--- a/Libraries/LibEntry/StoreThread.h
+++ b/Libraries/LibEntry/StoreThread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Random.h>
+#include <LibEntry/CatchUpThread.h>
 #include <LibEntry/EntrySettings.h>
 #include <LibEntry/StateFeed.h>
 #include <LibEntry/StoreCounters.h>
@@ -15,7 +16,7 @@
 /// longer has the history.
 class StoreThread {
 public:
-    StoreThread(const EntrySettings&, StateFeed&, StoreCounters&);
+    StoreThread(const EntrySettings&, StateFeed&, CatchUpThread&, StoreCounters&);
 
     void start();
     /// Sets whether this entry VM watches the store itself or receives records from peers. Any thread.
@@ -37,12 +38,18 @@
     bool readOrWatch();
     /// Reads the next page of all records; applies them together after the last page.
     bool readNextPage();
+    /// After the first of several pages: waits until a peer has supplied the records, unless this entry VM is one of
+    /// those that read all of them.
+    void waitForPeers(const Mirror::ChangeBatch& firstPage);
+    /// Whether the applied records are older than the pages read so far.
+    bool isBehindPages() const;
     bool watch();
     void handleCallSuccess();
     void handleCallFailure(Platform::StoreOutcome, const std::string& detail);
 
     const EntrySettings& settings_;
     StateFeed& feed_;
+    CatchUpThread& catchUp_;
     StoreCounters& counters_;
     Platform::StoreClient client_;
     Base::Random random_;
--- a/Libraries/LibSteering/Process/WatcherChoice.cpp
+++ b/Libraries/LibSteering/Process/WatcherChoice.cpp
@@ -10,6 +10,9 @@
     /// consecutive ones are missing.
     constexpr Base::milliseconds watcherReportTimeout { 1200 };
 
+    /// By then every running peer has sent its first reports.
+    constexpr Base::milliseconds firstReportTimeout { 700 };
+
     /// Limit of entry VMs that try to replace watchers to which the store does not respond.
     constexpr std::size_t maximumSubstitutes = 2;
 
@@ -20,14 +23,16 @@
 
 }
 
-bool WatcherChoice::isWatcher(
-    Base::TimePoint now, const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers) const
+bool WatcherChoice::isWatcher(Base::TimePoint now, const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers,
+    Base::TimePoint synchronizedAt) const
 {
+    const bool isStarting = now - synchronizedAt < firstReportTimeout;
     const auto ownRank = PeerTopology::rankOf(options_.self, options_.linkMegabits);
     std::size_t higherRanked = 0;
     std::size_t higherRankedWithoutStore = 0;
     for (const auto& [id, peer] : peers) {
-        const bool isHigherRanked = peer.failureDomain == options_.failureDomain && isReporting(now, peer)
+        const bool isRunning = isReporting(now, peer) || (isStarting && peer.lastReportAt == Base::TimePoint {});
+        const bool isHigherRanked = peer.failureDomain == options_.failureDomain && isRunning
             && PeerTopology::rankOf(id, peer.linkMegabits) < ownRank;
         higherRanked += isHigherRanked ? 1 : 0;
         higherRankedWithoutStore += isHigherRanked && peer.store == StoreView::Unresponsive ? 1 : 0;
--- a/Libraries/LibSteering/Process/WatcherChoice.h
+++ b/Libraries/LibSteering/Process/WatcherChoice.h
@@ -26,8 +26,10 @@
     {
     }
 
-    /// Whether this entry VM should watch the store now.
-    bool isWatcher(Base::TimePoint now, const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>&) const;
+    /// Whether this entry VM should watch the store now. synchronizedAt: when it learned of its peers; those that may
+    /// not have sent their first report yet count as running for some time after it.
+    bool isWatcher(Base::TimePoint now, const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>&,
+        Base::TimePoint synchronizedAt) const;
 
     /// Whether the store responds to any watcher, as far as this entry VM knows. ownView: whether it responds to this
     /// entry VM.
--- a/Tests/EntryProcesses/TestDisturbances.cpp
+++ b/Tests/EntryProcesses/TestDisturbances.cpp
@@ -73,6 +73,27 @@
     CHECK(deployment.unexpectedExits().empty());
 }
 
+TEST_CASE("after all entry VMs were killed, one of each failure domain reads all pages of the store")
+{
+    // The stand-in store returns 50 records a page.
+    SimulatedFleet fleet({ .seed = 10, .entryVmsPerZone = 3, .serversPerZone = 20, .seedCount = 0 });
+    auto& deployment = fleet.deployment();
+    deployment.invariants().markAllDisturbed(deployment.loop().now());
+    const auto finishedStarts = [&] { return fleet.shell("grep -c 'readiness_changed\",\"ready\":true' all.log"); };
+    REQUIRE(fleet.runUntil(conditionTimeout, [&] { return finishedStarts() == "9\n"; }));
+    // At the first start not all others are registered yet.
+    const auto deferredReads = [&] { return std::stoi(fleet.shell("grep -c store_read_deferred all.log")); };
+    const int deferredBefore = deferredReads();
+    for (std::size_t index = 0; index < deployment.entryVmCount(); ++index) {
+        deployment.entryVms()[index].isExitExpected = true;
+        deployment.process(index).signal(SIGKILL);
+    }
+    CHECK(fleet.runUntil(conditionTimeout, [&] { return finishedStarts() == "18\n"; }));
+    CHECK(deferredReads() - deferredBefore == 6);
+    CHECK(deployment.unexpectedExits().empty());
+    CHECK(fleet.invariants().violations().empty());
+}
+
 TEST_CASE("packets queued while the process was paused are discarded")
 {
     SimulatedFleet fleet({ .seed = 7, .entryVmsPerZone = 1, .serversPerZone = 3 });
--- a/Tests/LibSteering/TestPeerTopology.cpp
+++ b/Tests/LibSteering/TestPeerTopology.cpp
@@ -64,7 +64,7 @@
         const Steering::WatcherChoice choice({ .self = SteeringFixture::peer(self + 1),
             .failureDomain = domain,
             .linkMegabits = self % 10 == 0 ? 200U : 10U });
-        if (choice.isWatcher(now, reportingPeers))
+        if (choice.isWatcher(now, reportingPeers, now - Base::milliseconds(50'000)))
             watchers.push_back(self);
     }
     return watchers;
--- a/Tests/LibSteering/TestWatcherChoice.cpp
+++ b/Tests/LibSteering/TestWatcherChoice.cpp
@@ -12,6 +12,7 @@
 
 constexpr uint32_t fleetSize = 8;
 const auto now = Base::TimePoint {} + Base::milliseconds(60'000);
+const auto synchronizedAt = now - Base::milliseconds(50'000);
 
 /// The entry VMs of one failure domain that choose to watch the store. views: whether the store responds to each.
 std::vector<uint32_t> watchers(const std::vector<StoreView>& views, const std::vector<bool>& isReporting)
@@ -29,7 +30,7 @@
         peers[SteeringFixture::peer(99)]
             = { .failureDomain = "notts", .store = StoreView::Responding, .lastReportAt = now };
         const WatcherChoice choice({ .self = SteeringFixture::peer(self + 1), .failureDomain = "brum" });
-        if (isReporting[self] && choice.isWatcher(now, peers))
+        if (isReporting[self] && choice.isWatcher(now, peers, synchronizedAt))
             chosen.push_back(self);
     }
     return chosen;
@@ -85,8 +86,27 @@
     }
     const auto chooses = [&](uint64_t link) {
         return WatcherChoice({ .self = SteeringFixture::peer(1), .failureDomain = "brum", .linkMegabits = link })
-            .isWatcher(now, peers);
+            .isWatcher(now, peers, synchronizedAt);
     };
     CHECK_FALSE(chooses(10));
     CHECK(chooses(1000));
 }
+
+TEST_CASE("after a mass start only the first in rank watches the store, though nobody has reported yet")
+{
+    uint32_t watcherCount = 0;
+    uint32_t laterWatcherCount = 0;
+    for (uint32_t self = 0; self < fleetSize; ++self) {
+        Peers peers;
+        for (uint32_t other = 0; other < fleetSize; ++other) {
+            if (other != self)
+                peers[SteeringFixture::peer(other + 1)] = { .failureDomain = "brum" };
+        }
+        const WatcherChoice choice({ .self = SteeringFixture::peer(self + 1), .failureDomain = "brum" });
+        watcherCount += choice.isWatcher(now, peers, now - Base::milliseconds(100)) ? 1 : 0;
+        laterWatcherCount += choice.isWatcher(now, peers, now - Base::milliseconds(800)) ? 1 : 0;
+    }
+    CHECK(watcherCount == 1);
+    // Peers that are down send no reports; each remaining entry VM then watches until it hears another one.
+    CHECK(laterWatcherCount == fleetSize);
+}
