LibSteering: Do not count entry VMs that have not reported yet as silent

A peer reports only once it knows this entry VM, and the record may come to it through others; the same happens when several entry VMs are added to a small failure domain. Change: a peer that never reported counts as silent 2.5 s after it was listed. The new test of the pattern failed before.

--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -242,19 +242,27 @@
     for (int index = 0; index < received; ++index) {
         const auto place = static_cast<std::size_t>(index);
         const auto bytes = Platform::serverNumberBytes + buffers.messages[place].msg_len;
-        decidePacket(now, std::span(buffers.packets[place]).first(bytes));
+        if ((buffers.messages[place].msg_hdr.msg_flags & MSG_TRUNC) != 0)
+            recordMalformed(buffers.messages[place].msg_len);
+        else
+            decidePacket(now, std::span(buffers.packets[place]).first(bytes));
     }
     transmit();
     return static_cast<std::size_t>(received) == batchSize;
 }
 
+void PacketThread::recordMalformed(std::size_t bytes)
+{
+    ++statistics_.malformed;
+    Log::write(Events::packetMalformed, Log::Fields().add("bytes", bytes));
+}
+
 void PacketThread::decidePacket(Base::TimePoint now, std::span<std::byte> buffer)
 {
     const auto packet = buffer.subspan(Platform::serverNumberBytes);
     const auto view = Platform::decodePacket(packet);
     if (!view) {
-        ++statistics_.malformed;
-        Log::write(Events::packetMalformed, Log::Fields().add("bytes", packet.size()));
+        recordMalformed(packet.size());
         return;
     }
     const auto verdict = decider_.decide(now, *view, packet);
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -82,6 +82,7 @@
     /// Processes one batch. Returns whether more packets may be queued.
     bool processPackets(Base::TimePoint now);
     void decidePacket(Base::TimePoint now, std::span<std::byte> buffer);
+    void recordMalformed(std::size_t bytes);
     /// Adds a reset to the batch to be transmitted.
     void addReset(const Steering::PacketView&);
     void processReports(Base::TimePoint now);
--- a/Libraries/LibSteering/Process/PeerLoads.cpp
+++ b/Libraries/LibSteering/Process/PeerLoads.cpp
@@ -9,9 +9,12 @@
 
 }
 
-void PeerLoads::addOrUpdate(const PeerListed& event)
+void PeerLoads::addOrUpdate(Base::TimePoint now, const PeerListed& event)
 {
-    auto& peer = peers_[event.peer];
+    const auto [found, isNew] = peers_.try_emplace(event.peer);
+    auto& peer = found->second;
+    if (isNew)
+        peer.listedAt = now;
     peer.failureDomain = event.failureDomain;
     peer.reports = event.reports;
     peer.linkMegabits = event.linkMegabits;
--- a/Libraries/LibSteering/Process/PeerLoads.h
+++ b/Libraries/LibSteering/Process/PeerLoads.h
@@ -15,6 +15,8 @@
         std::string failureDomain;
         Base::Ipv4Endpoint reports;
         uint64_t linkMegabits { 0 };
+        /// When its record was first seen.
+        Base::TimePoint listedAt {};
         uint64_t sequence { 0 };
         uint64_t revision { 0 };
         StoreView store { StoreView::NotWatching };
@@ -28,7 +30,7 @@
     {
     }
 
-    void addOrUpdate(const PeerListed&);
+    void addOrUpdate(Base::TimePoint now, const PeerListed&);
     void remove(Base::EntryVmId);
     /// Returns false if the sender is unknown or a report at least as new was received before.
     bool accept(Base::TimePoint now, const LoadReport&);
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -86,11 +86,11 @@
     choice_.setEvacuated(event.failureDomain, event.isEvacuated);
 }
 
-void SteeringDecider::apply(Base::TimePoint, const PeerListed& event)
+void SteeringDecider::apply(Base::TimePoint now, const PeerListed& event)
 {
     if (event.peer == options_.self)
         return;
-    peerLoads_.addOrUpdate(event);
+    peerLoads_.addOrUpdate(now, event);
     if (std::ranges::find(peerIds_, event.peer) == peerIds_.end())
         peerIds_.push_back(event.peer);
     isTopologyOutdated_ = true;
--- a/Tests/LibSteering/TestReachability.cpp
+++ b/Tests/LibSteering/TestReachability.cpp
@@ -158,6 +158,33 @@
     }
 }
 
+TEST_CASE_METHOD(
+    SteeringFixture, "entry VMs that were just added and have not reported yet do not outnumber the others")
+{
+    configure();
+    synchronize();
+    listServer(1);
+    const auto addPeer = [&](uint32_t host, const std::string& domain) {
+        decider_.handle(now_, Steering::PeerListed { .peer = peer(host), .failureDomain = domain, .reports = {} });
+    };
+    addPeer(2, "notts");
+    uint64_t sequence = 0;
+    const auto pass = [&](int rounds) {
+        for (int round = 0; round < rounds; ++round) {
+            REQUIRE(decider_.acceptReport(now_, { .sender = peer(2), .sequence = ++sequence }));
+            advance(milliseconds(100));
+        }
+    };
+    pass(20);
+    for (const uint32_t host : { 3, 4, 5 })
+        addPeer(host, "brum");
+    // The added ones report once they have heard of this entry VM, a second later.
+    pass(15);
+    CHECK(decider_.isReady(now_));
+    pass(20);
+    CHECK_FALSE(decider_.isReady(now_));
+}
+
 TEST_CASE("a cold server's limit holds when entry VMs have different lists of peers")
 {
     const auto id = [](uint32_t host) { return SteeringFixture::peer(host); };
--- a/Tests/Platform/TestPacketCodec.cpp
+++ b/Tests/Platform/TestPacketCodec.cpp
@@ -40,6 +40,16 @@
     CHECK(std::equal(reset.begin(), reset.end(), expected.begin(), expected.end()));
 }
 
+TEST_CASE("a reset of an open flow has the sequence number that the caller has acknowledged")
+{
+    auto packet = *Platform::decodePacket(sample());
+    packet.opensFlow = false;
+    packet.acknowledged = 0x01020304;
+    const auto reset = Platform::encodeReset(packet);
+    const auto expected = bytesOf({ 1, 2, 3, 4 });
+    CHECK(std::equal(expected.begin(), expected.end(), reset.begin()));
+}
+
 TEST_CASE("the token and the server's number are written in network byte order")
 {
     auto packet = sample();
