LibEntry: Count a probe that fails locally as no evidence against the server

Cause: read in review: a connection that could not be opened for a local reason (no descriptor left, no route) had no socket, so that the probe timed out and requests on living flows would have been reset. Now it is logged (probe_failed) and the server counts as reachable. Tests of ProbeThread: accepted, refused and unanswered connections, and a local failure, which counted as unreachable before by reading; the test was run with the change only.

--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -68,6 +68,9 @@
 inline constexpr Event peerUnlisted { 5026, "peer_unlisted", Level::Info, "Another entry VM's registration ended." };
 inline constexpr Event stateSynchronized { 5027, "beliefs_complete", Level::Info,
     "All records of the store have been received; source is the store or the peer that sent them." };
+inline constexpr Event probeFailed { 5029, "probe_failed", Level::Warning,
+    "A connection to a backend server could not be opened for a local reason; the server counts as reachable.",
+    serverLinesPerSecond };
 inline constexpr Event storeLost { 5030, "store_lost", Level::Warning,
     "The store does not respond to this entry VM; the last known state stays in use." };
 inline constexpr Event storeRegained { 5031, "store_regained", Level::Info, "The store responds again." };
@@ -92,7 +95,7 @@
 inline constexpr std::array all { flowPlaced, flowAttemptedAgain, flowOpenedLate, flowRefused, flowNeverOpened,
     requestSeen, responseShort, packetMalformed, readinessChanged, leaving, left, processPaused, configurationInForce,
     serverListed, serverUnlisted, domainEvacuated, recordRefused, peerListed, peerUnlisted, stateSynchronized,
-    serverUnreachable, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp, peerFetchFailed,
-    storeWatchStarted, storeWatchEnded, storeReadDeferred };
+    serverUnreachable, probeFailed, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp,
+    peerFetchFailed, storeWatchStarted, storeWatchEnded, storeReadDeferred };
 
 }
--- a/Libraries/LibEntry/ProbeThread.cpp
+++ b/Libraries/LibEntry/ProbeThread.cpp
@@ -1,5 +1,7 @@
 #include <LibEntry/ProbeThread.h>
 
+#include <LibEntry/Events.h>
+#include <LibLog/Log.h>
 #include <LibPeer/Sockets.h>
 #include <algorithm>
 #include <poll.h>
@@ -62,16 +64,23 @@
     Steering::ProbeRequest request;
     while (requests_.tryPop(request)) {
         Probe probe { .request = request, .sockets = {}, .startedAt = std::chrono::steady_clock::now() };
-        connect(probe);
-        probes_.push_back(std::move(probe));
+        if (tryConnect(probe))
+            probes_.push_back(std::move(probe));
+        else
+            finish(probe, true);
     }
 }
 
-void ProbeThread::connect(Probe& probe)
+bool ProbeThread::tryConnect(Probe& probe)
 {
     const auto socket = Base::capture([&] { return Peer::startConnecting(probe.request.address); });
-    if (socket.isOk())
+    if (socket.isOk()) {
         probe.sockets.push_back(*socket.value);
+        return true;
+    }
+    Log::write(Events::probeFailed,
+        Log::Fields().add("server", probe.request.server.toString()).add("error", socket.error.detail));
+    return false;
 }
 
 void ProbeThread::poll()
@@ -89,15 +98,15 @@
     // Answers go before timeouts, since this thread may have been delayed.
     const auto now = std::chrono::steady_clock::now();
     std::erase_if(probes_, [&](Probe& probe) {
-        const bool isReachable = std::ranges::any_of(probe.sockets, isAnswered);
-        if (isReachable || now - probe.startedAt >= probeTimeout) {
-            closeAll(probe.sockets);
-            finish(probe, isReachable);
-            return true;
-        }
-        if (probe.sockets.size() == 1 && now - probe.startedAt >= secondConnectionDelay)
-            connect(probe);
-        return false;
+        const auto age = now - probe.startedAt;
+        bool isReachable = std::ranges::any_of(probe.sockets, isAnswered);
+        if (!isReachable && probe.sockets.size() == 1 && age >= secondConnectionDelay)
+            isReachable = !tryConnect(probe);
+        if (!isReachable && age < probeTimeout)
+            return false;
+        closeAll(probe.sockets);
+        finish(probe, isReachable);
+        return true;
     });
 }
 
--- a/Libraries/LibEntry/ProbeThread.h
+++ b/Libraries/LibEntry/ProbeThread.h
@@ -9,7 +9,8 @@
 namespace Entry {
 
 /// Opens TCP connections to backend servers to find out whether their hosts can be reached, and closes them at once. A
-/// refused connection counts as an answer.
+/// refused connection counts as an answer. A server also counts as reachable if the connection fails for a local
+/// reason, such as a lack of descriptors, since that shows nothing about the server.
 class ProbeThread {
 public:
     /// onResult is called by the probe thread after results were added.
@@ -34,7 +35,8 @@
 
     void run();
     void startRequested();
-    void connect(Probe&);
+    /// Returns false if the connection failed for a local reason.
+    static bool tryConnect(Probe&);
     /// Waits until a connection is answered or the next timeout is due, and finishes probes.
     void poll();
     void finish(const Probe&, bool isReachable);
--- /dev/null
+++ b/Tests/LibEntry/TestProbeThread.cpp
@@ -0,0 +1,73 @@
+#include <LibEntry/ProbeThread.h>
+#include <LibPeer/Sockets.h>
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+constexpr Steering::BackendServerNumber server { 7 };
+
+Base::Ipv4Endpoint loopback(uint16_t port) { return { .address = { INADDR_LOOPBACK }, .port = port }; }
+
+/// Probes the address and returns whether it counts as reachable.
+bool probe(const Base::Ipv4Endpoint& address)
+{
+    std::mutex mutex;
+    std::condition_variable condition;
+    bool hasResult = false;
+    Entry::ProbeThread thread([&] {
+        const std::scoped_lock lock(mutex);
+        hasResult = true;
+        condition.notify_all();
+    });
+    thread.start();
+    REQUIRE(thread.request({ .server = server, .address = address }));
+    {
+        std::unique_lock lock(mutex);
+        condition.wait(lock, [&] { return hasResult; });
+    }
+    Steering::ServerProbed result;
+    REQUIRE(thread.tryPopResult(result));
+    CHECK(result.server == server);
+    thread.stop();
+    return result.isReachable;
+}
+
+}
+
+TEST_CASE("a host that accepts or refuses the connection is reachable")
+{
+    const int listener = Peer::listenTcp(loopback(0)).value();
+    const auto address = Peer::localEndpoint(listener);
+    CHECK(probe(address));
+    ::close(listener);
+    CHECK(probe(address));
+}
+
+TEST_CASE("a host that does not answer is unreachable")
+{
+    // The kernel does not answer further connections once the queue of a listening socket is full.
+    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in any {};
+    any.sin_family = AF_INET;
+    any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(listener, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) == 0);
+    REQUIRE(::listen(listener, 0) == 0);
+    const auto address = Peer::localEndpoint(listener);
+    std::vector<int> sockets;
+    for (int count = 0; count < 4; ++count)
+        sockets.push_back(Peer::startConnecting(address).value());
+    CHECK_FALSE(probe(address));
+    for (const int socket : sockets)
+        ::close(socket);
+    ::close(listener);
+}
+
+TEST_CASE("a connection that fails for a local reason shows nothing about the server")
+{
+    // Connecting to a broadcast address fails in the local kernel.
+    CHECK(probe({ .address = { INADDR_BROADCAST }, .port = 80 }));
+}
