--- a/Tests/EntryProcesses/TestDisturbances.cpp
+++ b/Tests/EntryProcesses/TestDisturbances.cpp
@@ -78,7 +78,7 @@
     CHECK(deployment.unexpectedExits().empty());
 }
 
-TEST_CASE("after all entry VMs were killed, one of each failure domain reads all pages of the store")
+TEST_CASE("after a kill of all entry VMs one of each failure domain reads all pages of the store")
 {
     // The stand-in store returns 50 records a page.
     SimulatedFleet fleet({ .seed = 10, .entryVmsPerZone = 3, .serversPerZone = 20, .seedCount = 0 });
