--- a/Tests/LibEntry/TestProbeThread.cpp
+++ b/Tests/LibEntry/TestProbeThread.cpp
@@ -1,6 +1,7 @@
 #include <LibEntry/ProbeThread.h>
 #include <LibPeer/Sockets.h>
 #include <arpa/inet.h>
+#include <array>
 #include <catch2/catch.hpp>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -57,9 +58,9 @@
     REQUIRE(::bind(listener, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) == 0);
     REQUIRE(::listen(listener, 0) == 0);
     const auto address = Peer::localEndpoint(listener);
-    std::vector<int> sockets;
-    for (int count = 0; count < 4; ++count)
-        sockets.push_back(Peer::startConnecting(address).value());
+    std::array<int, 4> sockets {};
+    for (int& socket : sockets)
+        socket = Peer::startConnecting(address).value();
     CHECK_FALSE(probe(address));
     for (const int socket : sockets)
         ::close(socket);
