--- a/Meta/test-end-to-end.sh
+++ b/Meta/test-end-to-end.sh
@@ -144,7 +144,13 @@
 check "after the outage changes are accepted again" gives 0 backend-server weight rota rota-8 30
 check "and come into force everywhere" gives 0 wait --timeout-s 30
 
-kill -TERM "$PID_balancer_3"
+if ! kill -TERM "$PID_balancer_3"; then
+    code=0
+    wait "$PID_balancer_3" || code=$?
+    echo "FAILED  balancer 3 exited by itself with code $code; its last lines:"
+    tail -20 "$WORK/balancer-3.log" "$WORK/balancer-3.out"
+    exit 1
+fi
 code=0
 wait "$PID_balancer_3" || code=$?
 check "a balancer that is told to stop exits cleanly" is_equal "$code" 0
