--- /dev/null
+++ b/review/standins/Fleet.cpp
@@ -0,0 +1,291 @@
+// A small deployment of four machines in three zones on loopback addresses, with the disruption of one case.
+// usage: fleet CASE RECORD, in the repository's root; TROUBLE=0 leaves the disruption out.
+// Exits with 1 if the case's rule was broken, 0 if it held, 2 if the case could not run.
+
+#include "Client.h"
+#include "Target.h"
+#include <cstdlib>
+#include <iostream>
+
+namespace Review {
+
+namespace {
+
+    constexpr int exitHeld = 0;
+    constexpr int exitBroken = 1;
+    constexpr int exitNotRun = 2;
+
+    const Endpoint rotaRoute { 0xC6120001, 443 };
+    const Endpoint sheetsRoute { 0xC6120001, 8443 };
+
+    class Deployment {
+    public:
+        struct Options {
+            std::string record;
+            std::string folder;
+            /// Settings of the services in the configuration.
+            double warmUpSeconds { 2.0 };
+            double warmUpPerSecond { 0.0 };
+            int rotaTargetsPerZone { 2 };
+            double freshPerSecond { 60 };
+        };
+
+        explicit Deployment(const Options& options)
+            : options_(options)
+            , store_(world_.loop, loopbackAddress(1, 1))
+        {
+            world_.record.open(options.record);
+            std::vector<uint32_t> dataAddresses;
+            for (unsigned index = 1; index <= 4; ++index) {
+                dataAddresses.push_back(loopbackAddress(10, index));
+                dataAddresses.push_back(loopbackAddress(20, index));
+            }
+            world_.dataPort = findFreePort(dataAddresses);
+            writeConfiguration();
+            for (const auto* zone : { "brum", "notts", "leic" }) {
+                for (int index = 0; index < options_.rotaTargetsPerZone; ++index)
+                    addTarget("rota", zone);
+                addTarget("sheets", zone);
+            }
+            unsigned address = 0;
+            for (const auto* zone : { "brum", "brum", "notts", "leic" }) {
+                ++address;
+                nodes_.push_back(std::make_unique<Node>(world_,
+                    Node::Options { .name = "front-" + std::string(zone) + "-" + std::to_string(address),
+                        .zone = zone,
+                        .address = loopbackAddress(10, address),
+                        .store = store_.endpoint(),
+                        .folder = options_.folder }));
+                clients_.push_back(std::make_unique<Client>(world_, nodes_,
+                    Client::Options { .address = loopbackAddress(20, address),
+                        .zone = zone,
+                        .routes = { rotaRoute, rotaRoute, rotaRoute, sheetsRoute },
+                        .freshPerSecond = options_.freshPerSecond / 4 }));
+            }
+        }
+
+        World& world() { return world_; }
+        Store& store() { return store_; }
+        std::vector<std::unique_ptr<Target>>& targets() { return targets_; }
+        std::vector<std::unique_ptr<Node>>& nodes() { return nodes_; }
+        std::vector<std::unique_ptr<Client>>& clients() { return clients_; }
+
+        /// Waits until all machines are in rotation, and starts the traffic. Returns false if they are not in time.
+        bool start()
+        {
+            constexpr int maximumWaits = 60;
+            for (int waits = 0; waits < maximumWaits; ++waits) {
+                world_.loop.runFor(Ms(250));
+                if (!std::all_of(
+                        nodes_.begin(), nodes_.end(), [](const auto& node) { return node->isInRotation(); }))
+                    continue;
+                world_.loop.runFor(Ms(1000));
+                world_.write("traffic starts");
+                for (auto& client : clients_)
+                    client->startFreshFlows();
+                return true;
+            }
+            return false;
+        }
+
+        /// Ends the traffic. Returns false if the run shows nothing, since few requests were served.
+        bool finish()
+        {
+            for (auto& client : clients_)
+                client->stop();
+            world_.loop.runFor(Ms(2000));
+            for (const auto& [what, count] : world_.counts) {
+                if (!what.starts_with("runs "))
+                    std::cout << count << " " << what << "\n";
+            }
+            return world_.counts["answers"] * 2 > world_.counts["requests sent"];
+        }
+
+    private:
+        void addTarget(const std::string& service, const std::string& zone)
+        {
+            ++targetCount_;
+            targets_.push_back(std::make_unique<Target>(world_, store_, 0xA0000000U + 7919U * targetCount_,
+                Target::Options { .service = service,
+                    .zone = zone,
+                    .address = loopbackAddress(30, targetCount_),
+                    .warmUp = Ms(static_cast<int64_t>(options_.warmUpSeconds * 1000)) }));
+        }
+
+        void writeConfiguration()
+        {
+            using Json = Store::Json;
+            const auto route = [](const char* name, const Endpoint& endpoint, const char* service) {
+                return Json { { "name", name }, { "host", endpoint.host() },
+                    { "prefix", "/" + std::to_string(endpoint.port) + "/" }, { "route_type", "safe" },
+                    { "timeout_ms", 1500 }, { "aim_ms", 100 }, { "priority", 2 }, { "service", service },
+                    { "max_attempts", 2 } };
+            };
+            const auto service = [&](const char* name) {
+                return Json { { "name", name }, { "health_path", "/health" }, { "max_conns", 2000 },
+                    { "protocol", "h1" }, { "tls", false }, { "warmup_s", options_.warmUpSeconds },
+                    { "warmup_per_s", options_.warmUpPerSecond } };
+            };
+            store_.put("op/config",
+                { { "version", 3 },
+                    { "routes", { route("r-rota", rotaRoute, "rota"), route("r-sheets", sheetsRoute, "sheets") } },
+                    { "services", { service("rota"), service("sheets") } },
+                    { "limits", { { "idle_timeout_ms", 15000 } } } });
+        }
+
+        Options options_;
+        World world_;
+        Store store_;
+        unsigned targetCount_ { 0 };
+        std::vector<std::unique_ptr<Target>> targets_;
+        std::vector<std::unique_ptr<Node>> nodes_;
+        std::vector<std::unique_ptr<Client>> clients_;
+    };
+
+    /// Another writer's entry of a service that no configuration names, at the address of a live target.
+    int runForeignEntry(Deployment::Options options, bool hasTrouble)
+    {
+        options.freshPerSecond = 40;
+        Deployment deployment(options);
+        if (!deployment.start())
+            return exitNotRun;
+        auto& world = deployment.world();
+        for (int count = 0; count < 6; ++count) {
+            for (auto& client : deployment.clients())
+                client->open(rotaRoute, 60, Ms(200), 0);
+            world.loop.runFor(Ms(100));
+        }
+        world.loop.runFor(Ms(4000));
+        const auto& target = *deployment.targets().front();
+        if (hasTrouble) {
+            world.write("another writer writes an entry of service rota-trial at the address of " + target.id());
+            deployment.store().put("servers/i-5c0ffee5",
+                { { "service", "rota-trial" }, { "address", target.endpoint().text() },
+                    { "zone", target.options().zone }, { "version", "v1" }, { "concurrency", 2 },
+                    { "state", "ready" }, { "warmup_left_ms", 0 }, { "sequence", 1 },
+                    { "born", target.startedAtMilliseconds() + 5000 } });
+        }
+        world.loop.runFor(Ms(6000));
+        if (!deployment.finish())
+            return exitNotRun;
+        return world.counts["FLOW broken"] > 0 ? exitBroken : exitHeld;
+    }
+
+    /// A lost SYN+ACK, which its target sends again, on flows whose machine is then stopped as planned.
+    int runLateSynAck(Deployment::Options options, bool hasTrouble)
+    {
+        constexpr int flowsPerClient = 6;
+        Deployment deployment(options);
+        if (!deployment.start())
+            return exitNotRun;
+        auto& world = deployment.world();
+        world.loop.runFor(Ms(4000));
+        std::set<Endpoint> unlucky;
+        for (auto& target : deployment.targets()) {
+            target->setLossOfSynAck([&unlucky](const Endpoint& client) { return unlucky.erase(client) > 0; });
+        }
+        for (int count = 0; count < flowsPerClient; ++count) {
+            for (std::size_t index = 0; index < 2; ++index) {
+                const auto end = deployment.clients()[index]->open(rotaRoute, 14, Ms(900), 0);
+                if (hasTrouble)
+                    unlucky.insert(end);
+            }
+            world.loop.runFor(Ms(50));
+        }
+        world.loop.runFor(Ms(1000));
+        if (hasTrouble)
+            deployment.nodes().front()->restartGracefully();
+        world.loop.runFor(Ms(12000));
+        if (!deployment.finish())
+            return exitNotRun;
+        return world.counts["FLOW broken"] > 0 ? exitBroken : exitHeld;
+    }
+
+    /// The largest number of opening packets that arrived within one second.
+    std::size_t busiestSecond(const std::vector<Target::Opening>& openings)
+    {
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < openings.size(); ++last) {
+            while (openings[last].arrivedAt - openings[first].arrivedAt >= Ms(1000))
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    /// A target crashes and starts again under its id while the store is down.
+    int runColdTarget(Deployment::Options options, bool hasTrouble)
+    {
+        options.warmUpSeconds = 2.0;
+        options.warmUpPerSecond = 4.0;
+        options.rotaTargetsPerZone = 1;
+        options.freshPerSecond = 160;
+        constexpr double bound = 4.0 * 1.5 + 5;
+        Deployment deployment(options);
+        if (!deployment.start())
+            return exitNotRun;
+        auto& world = deployment.world();
+        world.loop.runFor(Ms(4000));
+        auto& target = *deployment.targets().front();
+        if (hasTrouble) {
+            world.write("the store is down");
+            deployment.store().setDown(true);
+            world.loop.runFor(Ms(500));
+            target.crash();
+            world.loop.runFor(Ms(500));
+            target.restart();
+            world.loop.runFor(Ms(3500));
+            deployment.store().setDown(false);
+            world.write("the store is back");
+        }
+        world.loop.runFor(Ms(4000));
+        if (!deployment.finish())
+            return exitNotRun;
+        const auto most = busiestSecond(target.openingsWhileCold());
+        const auto text = "the cold target took " + std::to_string(most) + " requests in one second, the most is "
+            + std::to_string(static_cast<int>(bound));
+        world.write(text);
+        std::cout << text << "\n";
+        return static_cast<double>(most) > bound ? exitBroken : exitHeld;
+    }
+
+    int run(const std::string& name, const Deployment::Options& options)
+    {
+        const char* trouble = std::getenv("TROUBLE");
+        const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
+        if (name == "foreign-entry")
+            return runForeignEntry(options, hasTrouble);
+        if (name == "late-syn-ack")
+            return runLateSynAck(options, hasTrouble);
+        if (name == "cold-target")
+            return runColdTarget(options, hasTrouble);
+        std::cerr << "unknown case " << name << "\n";
+        return exitNotRun;
+    }
+
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    if (argc != 3) {
+        std::cerr << "usage: fleet CASE RECORD\n";
+        return Review::exitNotRun;
+    }
+    std::string folder = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+    if (::mkdtemp(folder.data()) == nullptr)
+        return Review::exitNotRun;
+    int code = Review::exitNotRun;
+    try {
+        code = Review::run(argv[1], { .record = argv[2], .folder = folder });
+    } catch (const std::exception& exception) {
+        std::cerr << exception.what() << "\n";
+    }
+    if (std::getenv("REVIEW_KEEP") == nullptr)
+        std::filesystem::remove_all(folder);
+    else
+        std::cout << folder << "\n";
+    return code;
+}
--- /dev/null
+++ b/review/standins/World.h
@@ -0,0 +1,25 @@
+#pragma once
+
+// What all stand-ins of one run share: the loop, the record of the run, the platform's ports and open flows.
+
+#include "Packet.h"
+#include <fstream>
+#include <random>
+
+namespace Review {
+
+struct World {
+    Loop loop;
+    std::ofstream record;
+    std::mt19937_64 random { 7 };
+    uint16_t dataPort { 0 };
+    /// Targets at which flows are open, by client endpoint: from the moment at which a target has the end of the
+    /// handshake until the flow or the target ends.
+    std::map<Endpoint, Endpoint> openAt;
+    std::map<std::string, uint64_t> counts;
+
+    void write(const std::string& line) { record << loop.elapsed().count() << " " << line << "\n"; }
+    void count(const std::string& what) { ++counts[what]; }
+};
+
+}
