--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -27,6 +27,8 @@
             double warmUpSeconds { 2.0 };
             double warmUpPerSecond { 0.0 };
             int rotaTargetsPerZone { 2 };
+            /// In the first zone.
+            int additionalRotaTargets { 0 };
             double freshPerSecond { 60 };
         };
 
@@ -42,6 +44,8 @@
             }
             world_.dataPort = findFreePort(dataAddresses);
             writeConfiguration();
+            for (int index = 0; index < options_.additionalRotaTargets; ++index)
+                addTarget("rota", "brum");
             for (const auto* zone : { "brum", "notts", "leic" }) {
                 for (int index = 0; index < options_.rotaTargetsPerZone; ++index)
                     addTarget("rota", zone);
@@ -216,9 +220,10 @@
     /// A target crashes and starts again under its id while the store is down.
     int runColdTarget(Deployment::Options options, bool hasTrouble)
     {
-        options.warmUpSeconds = 2.0;
+        options.warmUpSeconds = 6.0;
         options.warmUpPerSecond = 4.0;
         options.rotaTargetsPerZone = 1;
+        options.additionalRotaTargets = 1;
         options.freshPerSecond = 160;
         constexpr double bound = 4.0 * 1.5 + 5;
         Deployment deployment(options);
@@ -232,9 +237,9 @@
             deployment.store().setDown(true);
             world.loop.runFor(Ms(500));
             target.crash();
-            world.loop.runFor(Ms(500));
+            world.loop.runFor(Ms(200));
             target.restart();
-            world.loop.runFor(Ms(3500));
+            world.loop.runFor(Ms(3800));
             deployment.store().setDown(false);
             world.write("the store is back");
         }
