--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -174,7 +174,7 @@
     }
 
     /// A lost SYN+ACK, which its target sends again, on flows whose machine is then stopped as planned.
-    int runLateSynAck(Deployment::Options options, bool hasTrouble)
+    int runLateSynAck(const Deployment::Options& options, bool hasTrouble)
     {
         constexpr int flowsPerClient = 6;
         Deployment deployment(options);
