--- a/review/standins/Client.h
+++ b/review/standins/Client.h
@@ -17,6 +17,8 @@
         std::vector<Endpoint> routes;
         /// New flows of a single request a second.
         double freshPerSecond { 0 };
+        /// A machine to which all packets are sent directly; empty: the routers select one.
+        std::string onlyMachine {};
     };
 
     Client(World& world, const std::vector<std::unique_ptr<Node>>& nodes, Options options)
@@ -63,6 +65,7 @@
         const Endpoint self { .address = options_.address, .port = ++lastPort_ };
         auto& flow = flows_[self.port];
         flow = { .route = route, .work = work, .sequence = static_cast<uint32_t>(world_.random()) };
+        world_.openedAt[self] = Clock::now();
         sendSyn(self.port, flow.sequence, 0);
         return self;
     }
@@ -102,6 +105,8 @@
         std::vector<const Node*> zoneInRotation;
         std::vector<const Node*> others;
         for (const auto& node : nodes_) {
+            if (node->options().name == options_.onlyMachine)
+                return node.get();
             if (node->options().zone == options_.zone) {
                 zone.push_back(node.get());
                 if (node->isInRotation())
--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -17,6 +17,9 @@
 
     const Endpoint rotaRoute { 0xC6120001, 443 };
     const Endpoint sheetsRoute { 0xC6120001, 8443 };
+    const Endpoint extraRoute { 0xC6120001, 9443 };
+    constexpr unsigned machineCount = 4;
+    constexpr Ms configurationBound { 3000 };
 
     class Deployment {
     public:
@@ -34,16 +37,18 @@
 
         explicit Deployment(const Options& options)
             : options_(options)
-            , store_(world_.loop, loopbackAddress(1, 1))
+            , store_(world_.loop,
+                  { loopbackAddress(1, 1), loopbackAddress(1, 2), loopbackAddress(1, 3), loopbackAddress(1, 4) })
         {
             world_.record.open(options.record);
             std::vector<uint32_t> dataAddresses;
-            for (unsigned index = 1; index <= 4; ++index) {
+            // One client more than machines: it probes a single machine.
+            for (unsigned index = 1; index <= machineCount + 1; ++index) {
                 dataAddresses.push_back(loopbackAddress(10, index));
                 dataAddresses.push_back(loopbackAddress(20, index));
             }
             world_.dataPort = findFreePort(dataAddresses);
-            writeConfiguration();
+            writeConfiguration(true);
             for (int index = 0; index < options_.additionalRotaTargets; ++index)
                 addTarget("rota", "brum");
             for (const auto* zone : { "brum", "notts", "leic" }) {
@@ -58,7 +63,7 @@
                     Node::Options { .name = "front-" + std::string(zone) + "-" + std::to_string(address),
                         .zone = zone,
                         .address = loopbackAddress(10, address),
-                        .store = store_.endpoint(),
+                        .store = store_.endpoint(address - 1),
                         .folder = options_.folder }));
                 clients_.push_back(std::make_unique<Client>(world_, nodes_,
                     Client::Options { .address = loopbackAddress(20, address),
@@ -74,6 +79,33 @@
         std::vector<std::unique_ptr<Node>>& nodes() { return nodes_; }
         std::vector<std::unique_ptr<Client>>& clients() { return clients_; }
 
+        /// Writes the next version of the configuration; the return is its acknowledgement.
+        void writeConfiguration(bool hasExtraRoute)
+        {
+            using Json = Store::Json;
+            const auto route = [](const char* name, const Endpoint& endpoint, const char* service) {
+                return Json { { "name", name }, { "host", endpoint.host() },
+                    { "prefix", "/" + std::to_string(endpoint.port) + "/" }, { "route_type", "safe" },
+                    { "timeout_ms", 1500 }, { "aim_ms", 100 }, { "priority", 2 }, { "service", service },
+                    { "max_attempts", 2 } };
+            };
+            const auto service = [&](const char* name) {
+                return Json { { "name", name }, { "health_path", "/health" }, { "max_conns", 2000 },
+                    { "protocol", "h1" }, { "tls", false }, { "warmup_s", options_.warmUpSeconds },
+                    { "warmup_per_s", options_.warmUpPerSecond } };
+            };
+            Json routes = Json::array({ route("r-rota", rotaRoute, "rota"), route("r-sheets", sheetsRoute, "sheets") });
+            if (hasExtraRoute)
+                routes.push_back(route("r-extra", extraRoute, "rota"));
+            version_ += 3;
+            store_.put("op/config",
+                { { "version", version_ }, { "routes", routes },
+                    { "services", Json::array({ service("rota"), service("sheets") }) },
+                    { "limits", { { "idle_timeout_ms", 15000 } } } });
+            world_.write("version " + std::to_string(version_) + (hasExtraRoute ? " with" : " without")
+                + " the extra route is acknowledged");
+        }
+
         /// Waits until all machines are in rotation, and starts the traffic. Returns false if they are not in time.
         bool start()
         {
@@ -115,30 +147,10 @@
                     .warmUp = Ms(static_cast<int64_t>(options_.warmUpSeconds * 1000)) }));
         }
 
-        void writeConfiguration()
-        {
-            using Json = Store::Json;
-            const auto route = [](const char* name, const Endpoint& endpoint, const char* service) {
-                return Json { { "name", name }, { "host", endpoint.host() },
-                    { "prefix", "/" + std::to_string(endpoint.port) + "/" }, { "route_type", "safe" },
-                    { "timeout_ms", 1500 }, { "aim_ms", 100 }, { "priority", 2 }, { "service", service },
-                    { "max_attempts", 2 } };
-            };
-            const auto service = [&](const char* name) {
-                return Json { { "name", name }, { "health_path", "/health" }, { "max_conns", 2000 },
-                    { "protocol", "h1" }, { "tls", false }, { "warmup_s", options_.warmUpSeconds },
-                    { "warmup_per_s", options_.warmUpPerSecond } };
-            };
-            store_.put("op/config",
-                { { "version", 3 },
-                    { "routes", { route("r-rota", rotaRoute, "rota"), route("r-sheets", sheetsRoute, "sheets") } },
-                    { "services", { service("rota"), service("sheets") } },
-                    { "limits", { { "idle_timeout_ms", 15000 } } } });
-        }
-
         Options options_;
         World world_;
         Store store_;
+        uint64_t version_ { 0 };
         unsigned targetCount_ { 0 };
         std::vector<std::unique_ptr<Target>> targets_;
         std::vector<std::unique_ptr<Node>> nodes_;
@@ -254,6 +266,47 @@
         return static_cast<double>(most) > bound ? exitBroken : exitHeld;
     }
 
+    /// The machines that watch the store are cut off from it without a reset, and a route is dropped. The other machine
+    /// of the first zone is in touch all the while.
+    int runSilentWatchers(const Deployment::Options& options, bool hasTrouble)
+    {
+        Deployment deployment(options);
+        if (!deployment.start())
+            return exitNotRun;
+        auto& world = deployment.world();
+        auto& store = deployment.store();
+        world.loop.runFor(Ms(4000));
+        const std::size_t watching = store.isWatchedBy(0) ? 0 : 1;
+        const std::size_t probed = 1 - watching;
+        if (!store.isWatchedBy(watching) || store.isWatchedBy(probed))
+            return exitNotRun;
+        Client prober(world, deployment.nodes(),
+            { .address = loopbackAddress(20, machineCount + 1),
+                .zone = "brum",
+                .routes = { extraRoute },
+                .freshPerSecond = 20,
+                .onlyMachine = deployment.nodes()[probed]->options().name });
+        prober.startFreshFlows();
+        deployment.writeConfiguration(true);
+        world.loop.runFor(Ms(350));
+        if (hasTrouble) {
+            for (const std::size_t machine : { watching, std::size_t { 2 }, std::size_t { 3 } }) {
+                world.write(deployment.nodes()[machine]->options().name + " is cut off from the store");
+                store.cutOff(machine);
+            }
+        }
+        world.loop.runFor(Ms(50));
+        world.droppedRoute = extraRoute;
+        world.droppedRouteEndsAt = Clock::now() + configurationBound;
+        deployment.writeConfiguration(false);
+        // The cut lasts no longer than its largest dose.
+        world.loop.runFor(Ms(5400));
+        prober.stop();
+        if (!deployment.finish())
+            return exitNotRun;
+        return world.counts["CONFIG broken"] > 0 ? exitBroken : exitHeld;
+    }
+
     int run(const std::string& name, const Deployment::Options& options)
     {
         const char* trouble = std::getenv("TROUBLE");
@@ -264,6 +317,8 @@
             return runLateSynAck(options, hasTrouble);
         if (name == "cold-target")
             return runColdTarget(options, hasTrouble);
+        if (name == "silent-watchers")
+            return runSilentWatchers(options, hasTrouble);
         std::cerr << "unknown case " << name << "\n";
         return exitNotRun;
     }
--- a/review/standins/Store.h
+++ b/review/standins/Store.h
@@ -3,6 +3,7 @@
 // The platform's store: range reads, watches, transactions and leases over HTTP/1.1, answers in 4 ms, 20 s of history.
 
 #include "Loop.h"
+#include <algorithm>
 #include <deque>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -13,20 +14,52 @@
 public:
     using Json = nlohmann::json;
 
-    Store(Loop& loop, uint32_t address)
+    /// The store answers at several addresses, one for each machine, so that single machines can be cut off from it.
+    Store(Loop& loop, const std::vector<uint32_t>& addresses)
         : loop_(loop)
-        , endpoint_ { .address = address, .port = findFreePort({ address }) }
-        , listener_(bindSocket(SOCK_STREAM, endpoint_))
     {
-        ::listen(listener_, 64);
-        loop_.watch(listener_, [this] { accept(); });
+        for (const auto address : addresses) {
+            Front front;
+            front.endpoint = { .address = address, .port = findFreePort({ address }) };
+            front.listener = bindSocket(SOCK_STREAM, front.endpoint);
+            ::listen(front.listener, backlog);
+            fronts_.push_back(front);
+        }
+        for (std::size_t index = 0; index < fronts_.size(); ++index)
+            loop_.watch(fronts_[index].listener, [this, index] { accept(index); });
         loop_.every(Ms(20), [this] {
             expireLeases();
             answerWatches();
         });
     }
 
-    const Endpoint& endpoint() const { return endpoint_; }
+    const Endpoint& endpoint(std::size_t machine) const { return fronts_[machine].endpoint; }
+
+    /// Cuts a machine off from the store without a reset: its connections go silent, and new ones hang.
+    void cutOff(std::size_t machine)
+    {
+        constexpr int connectionsThatFillTheQueue = 3;
+        auto& front = fronts_[machine];
+        front.isCutOff = true;
+        loop_.unwatch(front.listener);
+        for (const auto& [socket, connection] : connections_) {
+            if (connection.machine == machine)
+                loop_.unwatch(socket);
+        }
+        ::listen(front.listener, 0);
+        const auto native = front.endpoint.native();
+        for (int count = 0; count < connectionsThatFillTheQueue; ++count) {
+            const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+            ::connect(socket, reinterpret_cast<const sockaddr*>(&native), sizeof(native));
+            front.fillers.push_back(socket);
+        }
+    }
+    /// Whether the machine waits for changes.
+    bool isWatchedBy(std::size_t machine) const
+    {
+        return std::any_of(connections_.begin(), connections_.end(),
+            [machine](const auto& entry) { return entry.second.machine == machine && entry.second.watch.has_value(); });
+    }
 
     /// While the store is down it resets every connection.
     void setDown(bool isDown)
@@ -57,6 +90,12 @@
         bool isTombstone { false };
         Clock::time_point at;
     };
+    struct Front {
+        Endpoint endpoint;
+        int listener { -1 };
+        bool isCutOff { false };
+        std::vector<int> fillers;
+    };
     struct Watch {
         std::string prefix;
         uint64_t after { 0 };
@@ -64,6 +103,7 @@
     };
     struct Connection {
         uint64_t number { 0 };
+        std::size_t machine { 0 };
         std::string received;
         std::optional<Watch> watch;
     };
@@ -177,12 +217,12 @@
             remove(key);
     }
 
-    void accept()
+    void accept(std::size_t machine)
     {
-        const int socket = ::accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int socket = ::accept4(fronts_[machine].listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (socket < 0)
             return;
-        connections_[socket] = { .number = ++nextConnection_, .received = {}, .watch = {} };
+        connections_[socket] = { .number = ++nextConnection_, .machine = machine, .received = {}, .watch = {} };
         if (isDown_) {
             close(socket);
             return;
@@ -275,7 +315,7 @@
     void answerWatches()
     {
         for (auto& [socket, connection] : connections_) {
-            if (!connection.watch)
+            if (!connection.watch || fronts_[connection.machine].isCutOff)
                 continue;
             const auto watch = *connection.watch;
             if (watch.after < historyStart_) {
@@ -345,7 +385,8 @@
             + std::to_string(text.size()) + "\r\n\r\n" + text;
         loop_.after(answerTime, [this, socket, number = connections_[socket].number, message = std::move(message)] {
             const auto found = connections_.find(socket);
-            if (found == connections_.end() || found->second.number != number)
+            if (found == connections_.end() || found->second.number != number
+                || fronts_[found->second.machine].isCutOff)
                 return;
             std::size_t sent = 0;
             while (sent < message.size()) {
@@ -357,9 +398,10 @@
         });
     }
 
+    static constexpr int backlog = 64;
+
     Loop& loop_;
-    Endpoint endpoint_;
-    int listener_;
+    std::vector<Front> fronts_;
     bool isDown_ { false };
     std::map<std::string, Item> items_;
     std::deque<Item> history_;
--- a/review/standins/Target.h
+++ b/review/standins/Target.h
@@ -168,12 +168,11 @@
         const bool isCopy = flow.sequence != 0 && flow.clientSequence == packet.sequence;
         if (isCopy)
             return;
-        // The client's time of sending travels in no field: on the loopback network it is the time of arrival.
         flow = { .route = packet.to,
             .clientSequence = packet.sequence,
             .sequence = static_cast<uint32_t>(world_.random()) | 1U,
             .echo = packet.echo,
-            .opening = { Clock::now(), Clock::now() } };
+            .opening = { world_.openedAt[packet.from], Clock::now() } };
         sendSynAck(packet.from, flow.sequence, 0);
     }
 
@@ -277,6 +276,10 @@
             finish(packet.from, "503 " + packet.data);
             return;
         }
+        if (flow.route == world_.droppedRoute && flow.opening.sentAt > world_.droppedRouteEndsAt) {
+            world_.write("CONFIG: " + packet.data + " runs on a route that was dropped longer ago than allowed");
+            world_.count("CONFIG broken");
+        }
         queue_.emplace_back(packet.from, packet.data);
         startWork();
     }
--- a/review/standins/World.h
+++ b/review/standins/World.h
@@ -16,6 +16,11 @@
     /// Targets at which flows are open, by client endpoint: from the moment at which a target has the end of the
     /// handshake until the flow or the target ends.
     std::map<Endpoint, Endpoint> openAt;
+    /// When clients sent the first SYN of their flows.
+    std::map<Endpoint, Clock::time_point> openedAt;
+    /// A route that the configuration drops; requests that are sent later than the time may not run.
+    Endpoint droppedRoute;
+    Clock::time_point droppedRouteEndsAt { Clock::time_point::max() };
     std::map<std::string, uint64_t> counts;
 
     void write(const std::string& line) { record << loop.elapsed().count() << " " << line << "\n"; }
