LibSteering, platform: Decode the traffic class of routes; extend load reports

Cause: priority, latency objective, time limit and idempotence of a route were not decoded, and entry VMs could tell each other nothing but requests in flight.

Change: a route carries a TrafficClass, decoded once in platform/. Load reports may carry demand for room by service, service times of single servers, and servers that may have started again; reports without them, as of earlier releases, are accepted. Nothing reads the new fields yet.

--- a/Libraries/LibSteering/Process/LoadReport.cpp
+++ b/Libraries/LibSteering/Process/LoadReport.cpp
@@ -12,12 +12,54 @@
     using Json = nlohmann::json;
     using Base::ErrorCode;
 
-    constexpr std::size_t reportFieldCount = 6;
+    /// Reports of earlier releases end after the counts.
+    constexpr std::size_t minimumFieldCount = 6;
+    constexpr std::size_t demandsField = 6;
+    constexpr std::size_t speedsField = 7;
+    constexpr std::size_t restartsField = 8;
     /// More requests in flight than any server can handle; a report with a larger count is malformed.
     constexpr uint64_t maximumInFlight = 100'000;
 
+    /// A request that takes longer has timed out; a report with a longer service time is malformed.
+    constexpr uint64_t maximumServiceTimeMicroseconds = 60'000'000;
+
     bool isUnsigned(const Json& value) { return value.is_number_unsigned(); }
 
+    /// Calls add(first, second) for each of the alternating elements of an optional field.
+    template <typename Add>
+    Base::ErrorOr<void> readPairs(const Json& report, std::size_t field, uint64_t maximumSecond, const Add& add)
+    {
+        if (report.size() <= field)
+            return {};
+        const auto& values = report[field];
+        if (!values.is_array() || values.size() % 2 != 0 || !std::all_of(values.begin(), values.end(), isUnsigned))
+            return Base::makeError(ErrorCode::Malformed, "expected pairs of unsigned integers");
+        for (std::size_t index = 0; index < values.size(); index += 2) {
+            if (values[index + 1].get<uint64_t>() > maximumSecond)
+                return Base::makeError(ErrorCode::Malformed, "a reported value is out of range");
+            add(values[index].get<uint64_t>(), values[index + 1].get<uint64_t>());
+        }
+        return {};
+    }
+
+    Base::ErrorOr<void> readOptionalFields(const Json& value, LoadReport& report)
+    {
+        TRY(readPairs(value, demandsField, maximumInFlight, [&](uint64_t service, uint64_t requests) {
+            report.demands.push_back({ { service }, static_cast<uint32_t>(requests) });
+        }));
+        TRY(readPairs(value, speedsField, maximumServiceTimeMicroseconds, [&](uint64_t number, uint64_t time) {
+            report.speeds.push_back({ { number }, Base::microseconds(static_cast<int64_t>(time)) });
+        }));
+        if (value.size() <= restartsField)
+            return {};
+        const auto& restarts = value[restartsField];
+        if (!restarts.is_array() || !std::all_of(restarts.begin(), restarts.end(), isUnsigned))
+            return Base::makeError(ErrorCode::Malformed, "expected the numbers of restarted servers");
+        for (const auto& number : restarts)
+            report.possiblyRestarted.push_back({ number.get<uint64_t>() });
+        return {};
+    }
+
 }
 
 std::vector<std::byte> encodeLoadReport(const LoadReport& report)
@@ -28,14 +70,28 @@
         numbers.push_back(load.number.value);
         counts.push_back(load.inFlight);
     }
-    return Peer::writeMsgpack(Json::array({ report.sender.value, report.sequence, report.revision,
-        static_cast<uint64_t>(report.store), std::move(numbers), std::move(counts) }));
+    auto demands = Json::array();
+    for (const auto& demand : report.demands) {
+        demands.push_back(demand.service.value);
+        demands.push_back(demand.requests);
+    }
+    auto speeds = Json::array();
+    for (const auto& speed : report.speeds) {
+        speeds.push_back(speed.number.value);
+        speeds.push_back(static_cast<uint64_t>(speed.serviceTime.count()));
+    }
+    auto restarts = Json::array();
+    for (const auto number : report.possiblyRestarted)
+        restarts.push_back(number.value);
+    return Peer::writeMsgpack(
+        Json::array({ report.sender.value, report.sequence, report.revision, static_cast<uint64_t>(report.store),
+            std::move(numbers), std::move(counts), std::move(demands), std::move(speeds), std::move(restarts) }));
 }
 
 Base::ErrorOr<LoadReport> decodeLoadReport(std::span<const std::byte> bytes)
 {
     TRY_ASSIGN(value, Peer::readMsgpack(bytes));
-    const bool isReport = value.is_array() && value.size() == reportFieldCount
+    const bool isReport = value.is_array() && value.size() >= minimumFieldCount
         && std::all_of(value.begin(), value.begin() + 4, isUnsigned)
         && value[3].get<uint64_t>() <= static_cast<uint64_t>(StoreView::Unresponsive) && value[4].is_array()
         && value[5].is_array() && value[4].size() == value[5].size();
@@ -52,6 +108,7 @@
             return Base::makeError(ErrorCode::Malformed, "expected a number and a count for each server");
         report.loads.push_back({ { number.get<uint64_t>() }, static_cast<uint32_t>(count.get<uint64_t>()) });
     }
+    TRY(readOptionalFields(value, report));
     return report;
 }
 
--- a/Libraries/LibSteering/Process/LoadReport.h
+++ b/Libraries/LibSteering/Process/LoadReport.h
@@ -1,13 +1,16 @@
 #pragma once
 
 /// Report that entry VMs send each other several times a second: the requests that the sender has in flight at each
-/// backend server, and the store revision that it holds.
+/// backend server, its demand for room, what it has learned about single servers, and the store revision that it holds.
 
 #include <LibBase/Error.h>
+#include <LibBase/Hash.h>
 #include <LibBase/Identifiers.h>
+#include <LibBase/Time.h>
 #include <LibSteering/FlowToken.h>
 #include <cstddef>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace Steering {
@@ -17,6 +20,27 @@
     uint32_t inFlight { 0 };
 };
 
+/// Identifies a service in reports; a hash of its name, the same on every node.
+struct ServiceKey {
+    uint64_t value { 0 };
+
+    auto operator<=>(const ServiceKey&) const = default;
+    static ServiceKey of(std::string_view name) { return { Base::hashText(name) }; }
+};
+
+/// The room that a node needs at a service whose room is short.
+struct ServiceDemand {
+    ServiceKey service;
+    /// Requests in flight, waiting or rejected for lack of room, as a mean of concurrent ones.
+    uint32_t requests { 0 };
+};
+
+/// A backend server whose service time differs from that of its service.
+struct ServerSpeed {
+    BackendServerNumber number;
+    Base::microseconds serviceTime { 0 };
+};
+
 /// Whether the store responds to the sender of a report.
 enum class StoreView : uint8_t {
     /// The sender does not watch the store itself.
@@ -34,6 +58,12 @@
     StoreView store { StoreView::NotWatching };
     /// Servers with requests in flight; all others have none.
     std::vector<ServerLoad> loads;
+    /// Services whose room is short; empty while there is room.
+    std::vector<ServiceDemand> demands;
+    /// Servers whose service time the sender has measured and found to differ; all others are like their service.
+    std::vector<ServerSpeed> speeds;
+    /// Servers that went silent while the store could not tell whether they started again.
+    std::vector<BackendServerNumber> possiblyRestarted;
 };
 
 /// Encodes the report as msgpack.
--- a/Libraries/LibSteering/Version/Configuration.h
+++ b/Libraries/LibSteering/Version/Configuration.h
@@ -19,10 +19,25 @@
     uint32_t weight { 1 };
 };
 
+/// What operators state about the requests of a route.
+struct TrafficClass {
+    /// Routes with a smaller number get room first.
+    uint32_t priority { 0 };
+    /// Whether a request may be executed more than once.
+    bool isIdempotent { false };
+    /// The time within which callers expect the response, from their first attempt. Zero: not given.
+    Base::milliseconds latencyObjective { 0 };
+    /// The time after which callers no longer wait for the response. Zero: not given.
+    Base::milliseconds timeout { 0 };
+
+    bool operator==(const TrafficClass&) const = default;
+};
+
 /// Destination of the new flows of one service address and port.
 struct Route {
     std::string name;
     Base::Ipv4Endpoint endpoint;
+    TrafficClass traffic;
     std::vector<ServiceShare> shares;
     /// Regions whose backend servers may be used; empty: all.
     std::vector<std::string> regions;
--- a/Libraries/LibSteering/Version/RouteTable.cpp
+++ b/Libraries/LibSteering/Version/RouteTable.cpp
@@ -21,7 +21,7 @@
 {
     routes_.clear();
     for (const auto& route : configuration.routes) {
-        CompiledRoute compiled { .regions = route.regions };
+        CompiledRoute compiled { .traffic = route.traffic, .regions = route.regions };
         for (const auto& share : route.shares) {
             const auto profile = std::ranges::find(configuration.services, share.service, &ServiceProfile::name);
             const double rate = profile != configuration.services.end() ? profile->warmUpRequestsPerSecond : 0;
--- a/Libraries/LibSteering/Version/RouteTable.h
+++ b/Libraries/LibSteering/Version/RouteTable.h
@@ -16,6 +16,7 @@
     };
 
     struct CompiledRoute {
+        TrafficClass traffic;
         std::vector<Share> shares;
         std::vector<ServiceIndex> services;
         uint64_t totalWeight { 0 };
--- a/Tests/Platform/TestRecordDecoder.cpp
+++ b/Tests/Platform/TestRecordDecoder.cpp
@@ -87,12 +87,26 @@
     REQUIRE(configuration.routes[0].shares.size() == 2);
     CHECK(configuration.routes[0].shares[0].weight == 90);
     CHECK(configuration.routes[1].shares[0].service == "b");
+    CHECK(configuration.routes[0].traffic
+        == Steering::TrafficClass { .priority = 2,
+            .isIdempotent = true,
+            .latencyObjective = Base::milliseconds(100),
+            .timeout = Base::milliseconds(1500) });
+    CHECK(configuration.routes[1].traffic == Steering::TrafficClass {});
     CHECK(configuration.routes[1].regions == std::vector<std::string> { "midlands" });
     CHECK(configuration.services[0].warmUp == Base::milliseconds(2000));
     CHECK(configuration.services[0].warmUpRequestsPerSecond == 0.5);
     CHECK(configuration.idleTimeout == Base::milliseconds(15'000));
 }
 
+TEST_CASE("a route of an unknown type counts as not repeatable")
+{
+    const auto text = replaced(configurationText, "\"safe\"", "\"stream\"");
+    const auto event = decode<Steering::ConfigurationChanged>({ .key = "op/config", .revision = 30, .value = text });
+    REQUIRE(event);
+    CHECK_FALSE(event->configuration->routes[0].traffic.isIdempotent);
+}
+
 TEST_CASE("an invalid configuration, or its deletion, is rejected, so that the last one stays in force")
 {
     CHECK(isRejected("op/config", "{}"));
