LibSteering: Let only configured services and silence show that a server has ended

Cause: any entry with a later start at the address of a server counted as proof that the server had ended.

Change: only an entry of a service that the configuration in force names supersedes another one at its address, and only while it is there. New flows avoid a superseded server unless it responds for longer than responses are delayed. Open flows are reset only after packets have shown that it has ended: a handshake of the later server at the address, or a request without a response for 1 s.

Tests: the test of a taken-over address expected a reset of the next request on the strength of the entry alone, with a service that the test did not configure; it is replaced by two, one for each sign, and three for entries that say nothing. They failed before, for example 'CHECK( sendData(caller, token(1), 1001, 501).kind == VerdictKind::Forward ) with expansion: 1 == 0'.

--- a/Libraries/LibSteering/Connection/StalledFlows.cpp
+++ b/Libraries/LibSteering/Connection/StalledFlows.cpp
@@ -17,6 +17,9 @@
     constexpr Base::milliseconds probeInterval { 300 };
     /// A server that could not be reached this long ago may be reachable again.
     constexpr Base::milliseconds probeValidity { 1000 };
+    /// No request takes this long, also at a slow server with a full queue. A live server whose address stands in a
+    /// wrong entry must keep its flows.
+    constexpr Base::milliseconds replacedServerSilence { 1000 };
     /// One check for each flow with a request in flight; further ones are not watched.
     constexpr std::size_t maximumChecks = 200'000;
 
@@ -87,6 +90,16 @@
             checks_.push({ check.flow, check.requestSeenAt, now + stallThreshold() });
             continue;
         }
+        // A probe would reach the later server at the address, so that only silence can show that this one has ended.
+        if (server.isReplaced()) {
+            if (waitingTime < replacedServerSilence) {
+                checks_.push({ check.flow, check.requestSeenAt, now + stallThreshold() });
+                continue;
+            }
+            server.hasEnded = true;
+            resets_.push_back({ .flow = check.flow, .acknowledged = record->acknowledgedAtRequest });
+            continue;
+        }
         stalled_[server.entry.number].push_back(check.flow);
         probe(now, server);
         // The server was probed a moment ago for another flow; the flow is checked again when it may be probed next.
@@ -125,13 +138,13 @@
 bool StalledFlows::isGone(Base::TimePoint now, const Server& server) const
 {
     const bool isUnreachable = server.unreachableAt != Base::TimePoint {} && now - server.unreachableAt < probeValidity;
-    return server.isSuperseded || isUnreachable;
+    return server.hasEnded || isUnreachable;
 }
 
 void StalledFlows::recordReset(Base::TimePoint now, ServerIndex index)
 {
     auto& server = servers_.at(index);
-    if (!server.isSuperseded)
+    if (!server.hasEnded)
         probe(now, server);
 }
 
--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -65,17 +65,17 @@
     return index;
 }
 
-void ServerTable::attach(ServerIndex index)
+void ServerTable::attach(Base::TimePoint now, ServerIndex index)
 {
     const auto& server = servers_[index];
     serversByService_[server.service].push_back(index);
     byToken_[server.token].push_back(index);
     updateShadows(server.token);
     byAddress_[server.entry.address].push_back(index);
-    updateSuperseded(server.entry.address);
+    updateSuperseded(now, server.entry.address);
 }
 
-void ServerTable::detach(ServerIndex index)
+void ServerTable::detach(Base::TimePoint now, ServerIndex index)
 {
     const auto& server = servers_[index];
     std::erase(serversByService_[server.service], index);
@@ -89,19 +89,54 @@
     std::erase(serversAtAddress, index);
     if (serversAtAddress.empty())
         byAddress_.erase(server.entry.address);
+    else
+        updateSuperseded(now, server.entry.address);
+}
+
+bool ServerTable::supersedes(const Server& other, const Server& server) const
+{
+    return other.presence != Presence::Retired && other.entry.startedAt > server.entry.startedAt
+        && std::ranges::find(configuredServices_, other.service) != configuredServices_.end();
 }
 
-void ServerTable::updateSuperseded(const Base::Ipv4Endpoint& address)
+void ServerTable::updateSuperseded(Base::TimePoint now, const Base::Ipv4Endpoint& address)
 {
     const auto& serversAtAddress = byAddress_[address];
     for (const auto index : serversAtAddress) {
         auto& server = servers_[index];
-        // Once superseded, a server stays so, even if the later one is erased first.
-        server.isSuperseded |= std::ranges::any_of(serversAtAddress,
-            [&](ServerIndex other) { return servers_[other].entry.startedAt > server.entry.startedAt; });
+        const bool wasSuperseded = server.isSuperseded;
+        server.isSuperseded = std::ranges::any_of(
+            serversAtAddress, [&](ServerIndex other) { return supersedes(servers_[other], server); });
+        if (server.isSuperseded && !wasSuperseded)
+            server.supersededAt = now;
     }
 }
 
+void ServerTable::setConfiguredServices(Base::TimePoint now, const std::vector<std::string>& names)
+{
+    std::vector<ServiceIndex> configured;
+    for (const auto& name : names)
+        configured.push_back(serviceIndex(name));
+    std::ranges::sort(configured);
+    if (configured == configuredServices_)
+        return;
+    configuredServices_ = std::move(configured);
+    for (const auto& [address, serversAtAddress] : byAddress_) {
+        if (serversAtAddress.size() > 1)
+            updateSuperseded(now, address);
+    }
+}
+
+void ServerTable::confirmEndOfEarlierServers(ServerIndex index)
+{
+    const auto& later = servers_[index];
+    const auto& serversAtAddress = byAddress_[later.entry.address];
+    if (serversAtAddress.size() == 1)
+        return;
+    for (const auto other : serversAtAddress)
+        servers_[other].hasEnded |= servers_[other].isSuperseded && supersedes(later, servers_[other]);
+}
+
 void ServerTable::updateShadows(FlowToken token)
 {
     const auto& serversWithToken = byToken_[token];
@@ -125,7 +160,7 @@
         warmUp = std::max(warmUp, serviceWarmUp);
     const auto targetIndex = isKnown ? index : allocate();
     if (isKnown)
-        detach(targetIndex);
+        detach(now, targetIndex);
     auto& server = servers_[targetIndex];
     if (!isKnown)
         server = {};
@@ -140,10 +175,11 @@
         server.suspectUntil = {};
         server.unreachableAt = {};
         server.isSuperseded = false;
+        server.hasEnded = false;
         server.shortResponseShare = 0;
     }
     byNumber_[entry.number] = targetIndex;
-    attach(targetIndex);
+    attach(now, targetIndex);
     return isRestart;
 }
 
@@ -161,6 +197,7 @@
     } else {
         server.presence = Presence::Retired;
         server.presenceEndsAt = now + options_.retention;
+        updateSuperseded(now, server.entry.address);
     }
     return server.presence;
 }
@@ -190,12 +227,13 @@
         if (server.presence == Presence::Unconfirmed) {
             server.presence = Presence::Retired;
             server.presenceEndsAt = now + options_.retention;
+            updateSuperseded(now, server.entry.address);
         } else {
             erasable.push_back(index);
         }
     }
     for (const auto index : erasable) {
-        detach(index);
+        detach(now, index);
         byNumber_.erase(servers_[index].entry.number);
         servers_[index] = {};
         free_.push_back(index);
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -34,8 +34,12 @@
     Presence presence { Presence::Free };
     /// Another server of the service has the same token and a smaller number.
     bool isShadowed { false };
-    /// A server that started later is registered at the same address, so that this one has ended.
+    /// A server of a configured service that started later is registered at the same address. Another writer may have
+    /// made that entry by mistake, so that it alone does not show that this server has ended.
     bool isSuperseded { false };
+    Base::TimePoint supersededAt {};
+    /// This server is superseded, and packets have shown that it has ended.
+    bool hasEnded { false };
     /// When an Unconfirmed server becomes Retired, or a Retired one is erased.
     Base::TimePoint presenceEndsAt {};
     Base::TimePoint coldUntil {};
@@ -57,6 +61,14 @@
     double shortResponseShare { 0 };
 
     uint32_t inFlight() const { return ownInFlight + peersInFlight; }
+    /// Whether new flows avoid this server because of a later one at its address.
+    bool isReplaced() const
+    {
+        return hasEnded || (isSuperseded && lastResponseAt <= supersededAt + delayedResponseTimeout);
+    }
+
+    /// Callers may acknowledge a server's responses for this long after it has ended.
+    static constexpr Base::milliseconds delayedResponseTimeout { 1000 };
 };
 
 /// All backend servers known to this process, by number, by token and by service. Indexes stay valid until the server
@@ -81,6 +93,11 @@
     /// Handles the removal of a server's entry. Returns the new presence, or Free if the server is unknown.
     Presence removeEntry(Base::TimePoint now, BackendServerNumber);
     void setStoreReachable(Base::TimePoint now, bool isReachable);
+    /// Sets the services that the configuration in force names. Entries of other services are kept, but say nothing
+    /// about other servers at their address.
+    void setConfiguredServices(Base::TimePoint now, const std::vector<std::string>& names);
+    /// The server has completed a handshake, so that earlier ones at its address have ended.
+    void confirmEndOfEarlierServers(ServerIndex);
     /// Ends grace periods and erases servers whose retention is over. Called every 250 ms.
     void expire(Base::TimePoint now);
 
@@ -109,10 +126,12 @@
 
 private:
     ServerIndex allocate();
-    void attach(ServerIndex);
-    void detach(ServerIndex);
+    void attach(Base::TimePoint now, ServerIndex);
+    void detach(Base::TimePoint now, ServerIndex);
     void updateShadows(FlowToken);
-    void updateSuperseded(const Base::Ipv4Endpoint& address);
+    void updateSuperseded(Base::TimePoint now, const Base::Ipv4Endpoint& address);
+    /// Whether the other server's entry shows that its process runs at the server's address.
+    bool supersedes(const Server& other, const Server&) const;
     uint32_t indexOf(std::vector<std::string>& indexedNames, const std::string& name) const;
 
     Options options_;
@@ -122,6 +141,7 @@
     boost::unordered_flat_map<FlowToken, std::vector<ServerIndex>, std::hash<FlowToken>> byToken_;
     boost::unordered_flat_map<Base::Ipv4Endpoint, std::vector<ServerIndex>, std::hash<Base::Ipv4Endpoint>> byAddress_;
     std::vector<std::string> services_;
+    std::vector<ServiceIndex> configuredServices_;
     std::vector<std::vector<ServerIndex>> serversByService_;
     std::vector<std::string> domains_;
     bool storeReachable_ { true };
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -55,6 +55,10 @@
         return;
     configuration_ = event.configuration;
     routes_.replace(*configuration_, servers_);
+    std::vector<std::string> services;
+    for (const auto& profile : configuration_->services)
+        services.push_back(profile.name);
+    servers_.setConfiguredServices(now, services);
     updateReadiness(now);
 }
 
@@ -345,6 +349,7 @@
     server.lastHandshakeAt = now;
     server.lastResponseAt = now;
     server.unreachableAt = {};
+    servers_.confirmEndOfEarlierServers(*index);
     reachability_.recordResponse(server.domain);
     readiness_.recordResponse();
     ++statistics_.opened;
--- a/Tests/LibSteering/TestStalledFlows.cpp
+++ b/Tests/LibSteering/TestStalledFlows.cpp
@@ -22,7 +22,8 @@
     /// Opens a flow to the server; flows that were placed at another server are ended.
     void openFlowAt(uint64_t server)
     {
-        for (;;) {
+        for (int attempt = 0;; ++attempt) {
+            REQUIRE(attempt < 1000);
             const auto opened = openFlow(++lastPort_);
             if (opened.number == number(server))
                 return;
@@ -30,6 +31,30 @@
         }
     }
 
+    /// A later server, 9, registers at the address of another one.
+    void listOtherAtAddressOf(uint32_t server, const std::string& service)
+    {
+        decider_.handle(now_,
+            Steering::ServerListed { .entry = { .number = number(9),
+                                         .service = service,
+                                         .address = { .address = { server }, .port = 80 },
+                                         .failureDomain = "brum",
+                                         .slots = 2,
+                                         .startedAt = milliseconds(6) } });
+    }
+
+    void configureServices(const std::vector<std::string>& names, uint64_t revision = 11)
+    {
+        Steering::Configuration configuration { .version = revision, .revision = revision };
+        configuration.routes.push_back(
+            { .name = "route", .endpoint = service(443), .shares = { { .service = "rota", .weight = 1 } } });
+        for (const auto& name : names)
+            configuration.services.push_back({ .name = name });
+        configuration.idleTimeout = milliseconds(15'000);
+        decider_.handle(
+            now_, Steering::ConfigurationChanged { std::make_shared<const Steering::Configuration>(configuration) });
+    }
+
 protected:
     uint16_t lastPort_ { 0 };
 };
@@ -173,19 +198,76 @@
 
 TEST_CASE_METHOD(StalledFlowsFixture, "requests to a server whose address a later server has taken over are reset")
 {
+    configureServices({ "rota", "sheets" });
     openFlowAt(1);
     const auto caller = lastPort_;
-    const auto address = Base::Ipv4Endpoint { .address = { 1 }, .port = 80 };
-    decider_.handle(now_,
-        Steering::ServerListed { .entry = { .number = number(9),
-                                     .service = "sheets",
-                                     .address = address,
-                                     .failureDomain = "brum",
-                                     .slots = 2,
-                                     .startedAt = milliseconds(6) } });
-    CHECK(sendData(caller, token(1), 1001, 501).kind == VerdictKind::Reset);
+    listOtherAtAddressOf(1, "sheets");
+    // New flows go elsewhere at once; open ones until the server is found silent.
     CHECK(sendFirst(600).number == number(2));
+    CHECK(sendData(caller, token(1), 1001, 501).kind == VerdictKind::Forward);
+    for (int round = 0; round < 9; ++round)
+        advance(milliseconds(100));
+    // The server may be slow, and the entry wrong.
+    CHECK(resets_.empty());
+    advance(milliseconds(200));
+    CHECK(probes_.empty());
+    REQUIRE(resets_.size() == 1);
+    CHECK(resets_[0].flow == flow(caller));
+    // From then on at once, also for flows of other nodes.
+    CHECK(sendData(500, token(1), 2001, 701).kind == VerdictKind::Reset);
     // A new process under the old number ends the state.
     listServer(1, "brum", Steering::ServerState::Ready, milliseconds(0), milliseconds(7));
     CHECK(sendData(caller, token(1), 1001, 501).kind == VerdictKind::Forward);
 }
+
+TEST_CASE_METHOD(
+    StalledFlowsFixture, "the first handshake of a later server at the address ends the earlier one's flows")
+{
+    configureServices({ "rota", "sheets" });
+    openFlowAt(1);
+    const auto caller = lastPort_;
+    listOtherAtAddressOf(1, "rota");
+    for (uint16_t port = 700; openFlow(port).number != number(9); ++port) { }
+    CHECK(sendData(caller, token(1), 1001, 501).kind == VerdictKind::Reset);
+}
+
+TEST_CASE_METHOD(
+    StalledFlowsFixture, "an entry of a service that no configuration names says nothing about other servers")
+{
+    openFlowAt(1);
+    const auto caller = lastPort_;
+    listOtherAtAddressOf(1, "rota-trial");
+    CHECK(sendData(caller, token(1), 1001, 501).kind == VerdictKind::Forward);
+    advance(milliseconds(2));
+    send(caller, token(1), 701);
+    CHECK(sendData(caller, token(1), 1101, 701).kind == VerdictKind::Forward);
+    openFlowAt(1);
+    // Once operators configure the service, the entry counts.
+    configureServices({ "rota", "rota-trial" }, 11);
+    CHECK(sendFirst(600).number == number(2));
+}
+
+TEST_CASE_METHOD(StalledFlowsFixture, "a wrong entry of a configured service ends no flow of a live server")
+{
+    openFlowAt(1);
+    const auto caller = lastPort_;
+    listOtherAtAddressOf(1, "rota");
+    for (uint32_t request = 0; request < 100; ++request) {
+        REQUIRE(sendData(caller, token(1), 1001 + 100 * request, 501 + 200 * request).kind == VerdictKind::Forward);
+        advance(milliseconds(20));
+        send(caller, token(1), 701 + 200 * request);
+    }
+    CHECK(resets_.empty());
+    // The server has responded for longer than responses are delayed, so that new flows may use it again.
+    openFlowAt(1);
+}
+
+TEST_CASE_METHOD(StalledFlowsFixture, "a server is used again once the later entry at its address is gone")
+{
+    listOtherAtAddressOf(1, "rota");
+    CHECK(sendFirst(600).number != number(1));
+    CHECK(sendFirst(601).number != number(1));
+    CHECK(sendFirst(602).number != number(1));
+    decider_.handle(now_, Steering::ServerUnlisted { .number = number(9) });
+    openFlowAt(1);
+}
