LibMirror: Keep the revision from which deletions are complete from going back

Cause: a complete batch sets the revision from which on deletions are kept, but leaves older deletions in the list.

Change: the revision never decreases.

Result: the new test failed before: 'CHECK( peer.size() == 1 ) with expansion: 2 == 1'. All tests of TestLibMirror pass.

--- a/Libraries/LibMirror/Mirror.cpp
+++ b/Libraries/LibMirror/Mirror.cpp
@@ -23,7 +23,8 @@
     deletions_.push_back({ .key = key, .revision = revision, .value = {}, .isDeletion = true });
     if (deletions_.size() <= retainedDeletionsLimit)
         return;
-    deletionsCompleteAfter_ = deletions_.front().revision;
+    // Deletions older than a complete batch may be kept still.
+    deletionsCompleteAfter_ = std::max(deletionsCompleteAfter_, deletions_.front().revision);
     deletions_.pop_front();
 }
 
--- a/Tests/LibMirror/TestMirror.cpp
+++ b/Tests/LibMirror/TestMirror.cpp
@@ -109,6 +109,26 @@
     CHECK(mirror.size() == 1);
 }
 
+TEST_CASE("a peer older than a complete batch gets the complete state, also after many later deletions")
+{
+    // Just as many as are kept, and more.
+    const uint64_t deletionCount = GENERATE(4096U, 5000U);
+    Mirror::Mirror mirror;
+    mirror.apply({ .upTo = 10, .isComplete = true, .records = { put("a", 3), put("b", 4) } });
+    mirror.apply({ .after = 10, .upTo = 11, .records = { deletion("b", 11) } });
+    // The key "gone" was written and deleted while the store could not be watched.
+    Mirror::Mirror peer;
+    peer.apply({ .upTo = 15, .isComplete = true, .records = { put("a", 3), put("gone", 15) } });
+    mirror.apply({ .upTo = 20, .isComplete = true, .records = { put("a", 3) } });
+    ChangeBatch deletions { .after = 20, .upTo = 20 + deletionCount };
+    for (uint64_t index = 1; index <= deletionCount; ++index)
+        deletions.records.push_back(deletion("key" + std::to_string(index), 20 + index));
+    mirror.apply(deletions);
+    peer.apply(mirror.changesAfter(peer.revision(), 1'000'000));
+    CHECK(peer.revision() == mirror.revision());
+    CHECK(peer.size() == 1);
+}
+
 TEST_CASE("after the store's history is gone, a peer between the two states gets the complete state")
 {
     Mirror::Mirror mirror;
