LibSteering: Keep the time at which a server was superseded when the later entry changes

Cause: ServerTable takes an entry out and puts it back when it is updated.

Change: the servers at an address are rated once the updated entry is in place.

--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -75,7 +75,7 @@
     updateSuperseded(now, server.entry.address);
 }
 
-void ServerTable::detach(Base::TimePoint now, ServerIndex index)
+void ServerTable::detach(ServerIndex index)
 {
     const auto& server = servers_[index];
     std::erase(serversByService_[server.service], index);
@@ -89,8 +89,6 @@
     std::erase(serversAtAddress, index);
     if (serversAtAddress.empty())
         byAddress_.erase(server.entry.address);
-    else
-        updateSuperseded(now, server.entry.address);
 }
 
 bool ServerTable::supersedes(const Server& other, const Server& server) const
@@ -101,7 +99,10 @@
 
 void ServerTable::updateSuperseded(Base::TimePoint now, const Base::Ipv4Endpoint& address)
 {
-    const auto& serversAtAddress = byAddress_[address];
+    const auto found = byAddress_.find(address);
+    if (found == byAddress_.end())
+        return;
+    const auto& serversAtAddress = found->second;
     for (const auto index : serversAtAddress) {
         auto& server = servers_[index];
         const bool wasSuperseded = server.isSuperseded;
@@ -159,8 +160,9 @@
     if (isRestart)
         warmUp = std::max(warmUp, serviceWarmUp);
     const auto targetIndex = isKnown ? index : allocate();
+    const auto previousAddress = isKnown ? servers_[targetIndex].entry.address : entry.address;
     if (isKnown)
-        detach(now, targetIndex);
+        detach(targetIndex);
     auto& server = servers_[targetIndex];
     if (!isKnown)
         server = {};
@@ -180,6 +182,9 @@
     }
     byNumber_[entry.number] = targetIndex;
     attach(now, targetIndex);
+    // Once the entry is in place, so that an update of it does not supersede the others at its address anew.
+    if (previousAddress != entry.address)
+        updateSuperseded(now, previousAddress);
     return isRestart;
 }
 
@@ -233,7 +238,8 @@
         }
     }
     for (const auto index : erasable) {
-        detach(now, index);
+        detach(index);
+        updateSuperseded(now, servers_[index].entry.address);
         byNumber_.erase(servers_[index].entry.number);
         servers_[index] = {};
         free_.push_back(index);
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -127,7 +127,8 @@
 private:
     ServerIndex allocate();
     void attach(Base::TimePoint now, ServerIndex);
-    void detach(Base::TimePoint now, ServerIndex);
+    /// updateSuperseded must be called for the address afterwards.
+    void detach(ServerIndex);
     void updateShadows(FlowToken);
     void updateSuperseded(Base::TimePoint now, const Base::Ipv4Endpoint& address);
     /// Whether the other server's entry shows that its process runs at the server's address.
--- a/Tests/LibSteering/TestStalledFlows.cpp
+++ b/Tests/LibSteering/TestStalledFlows.cpp
@@ -271,3 +271,17 @@
     decider_.handle(now_, Steering::ServerUnlisted { .number = number(9) });
     openFlowAt(1);
 }
+
+TEST_CASE_METHOD(StalledFlowsFixture, "an update of a wrong entry does not hide a live server again")
+{
+    openFlowAt(1);
+    const auto caller = lastPort_;
+    listOtherAtAddressOf(1, "rota");
+    for (uint32_t request = 0; request < 100; ++request) {
+        REQUIRE(sendData(caller, token(1), 1001 + 100 * request, 501 + 200 * request).kind == VerdictKind::Forward);
+        advance(milliseconds(20));
+        send(caller, token(1), 701 + 200 * request);
+    }
+    listOtherAtAddressOf(1, "rota");
+    openFlowAt(1);
+}
