LibSteering: Count a server as cold that may have started again unseen by the store

Cause: only an entry tells that a backend server is cold.

Change: while the store is unreachable, RestartSuspicion looks at the probes of silent servers, which are made after a single first packet without a response then. A refused connection shows that the process is absent, and so do unanswered probes while the server's failure domain responds; a lost packet, a cut and a frozen process do not. Such servers count as cold until the warm-up time after the first accepted probe is over. Entry VMs report them to their peers at once. After the store's return an entry ends the suspicion.

--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -399,6 +399,12 @@
 
 void PacketThread::sendReports(Base::TimePoint now)
 {
+    // Peers must not send a cold server their full share until the next regular report.
+    if (decider_.restartSuspicionCount() != reportedSuspicionCount_) {
+        nextNearReport_ = now;
+        nextFarReport_ = now;
+    }
+    reportedSuspicionCount_ = decider_.restartSuspicionCount();
     const bool isNearDue = now >= nextNearReport_;
     const bool isFarDue = now >= nextFarReport_;
     if (!isNearDue && !isFarDue)
@@ -417,7 +423,8 @@
         .sequence = ++reportSequence_,
         .revision = feed_.revision(),
         .store = store_.view(),
-        .loads = decider_.ownLoads() });
+        .loads = decider_.ownLoads(),
+        .possiblyRestarted = decider_.possiblyRestarted(now) });
     reportedRevision_ = feed_.revision();
     const auto code = authenticator_.sign(body);
     std::vector<std::byte> datagram(code.begin(), code.end());
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -113,6 +113,7 @@
     Steering::SteeringDecider decider_;
     Steering::WatcherChoice watcherChoice_;
     uint64_t reportedRevision_ { 0 };
+    uint64_t reportedSuspicionCount_ { 0 };
     std::unique_ptr<Buffers> buffers_;
     Datagram::SendBatch batch_;
     Datagram::Wakeup wakeup_;
--- a/Libraries/LibEntry/ProbeThread.cpp
+++ b/Libraries/LibEntry/ProbeThread.cpp
@@ -4,7 +4,7 @@
 #include <LibLog/Log.h>
 #include <LibPeer/Sockets.h>
 #include <algorithm>
-#include <poll.h>
+#include <cerrno>
 #include <unistd.h>
 
 namespace Entry {
@@ -67,10 +67,27 @@
         if (tryConnect(probe))
             probes_.push_back(std::move(probe));
         else
-            finish(probe, true);
+            finish({ .server = request.server, .isReachable = true });
     }
 }
 
+Steering::ProbeAnswer ProbeThread::answerOf(const Probe& probe, const std::vector<pollfd>& descriptors)
+{
+    using Steering::ProbeAnswer;
+    auto answer = ProbeAnswer::None;
+    for (const int socket : probe.sockets) {
+        const auto found = std::ranges::find(descriptors, socket, &pollfd::fd);
+        if (found == descriptors.end() || found->revents == 0)
+            continue;
+        const int error = Peer::pendingSocketError(socket);
+        if (error == 0)
+            return ProbeAnswer::Accepted;
+        if (error == ECONNREFUSED)
+            answer = ProbeAnswer::Refused;
+    }
+    return answer;
+}
+
 bool ProbeThread::tryConnect(Probe& probe)
 {
     const auto socket = Base::capture([&] { return Peer::startConnecting(probe.request.address); });
@@ -99,21 +116,22 @@
     const auto now = std::chrono::steady_clock::now();
     std::erase_if(probes_, [&](Probe& probe) {
         const auto age = now - probe.startedAt;
+        const auto answer = answerOf(probe, descriptors);
         bool isReachable = std::ranges::any_of(probe.sockets, isAnswered);
         if (!isReachable && probe.sockets.size() == 1 && age >= secondConnectionDelay)
             isReachable = !tryConnect(probe);
         if (!isReachable && age < probeTimeout)
             return false;
         closeAll(probe.sockets);
-        finish(probe, isReachable);
+        finish({ .server = probe.request.server, .isReachable = isReachable, .answer = answer });
         return true;
     });
 }
 
-void ProbeThread::finish(const Probe& probe, bool isReachable)
+void ProbeThread::finish(const Steering::ServerProbed& result)
 {
     // The packet thread asks for at most one probe of each server at a time and takes results in every round.
-    while (!results_.tryPush({ .server = probe.request.server, .isReachable = isReachable }) && !worker_.isStopping())
+    while (!results_.tryPush(result) && !worker_.isStopping())
         worker_.pause(pollInterval);
     onResult_();
 }
--- a/Libraries/LibEntry/ProbeThread.h
+++ b/Libraries/LibEntry/ProbeThread.h
@@ -4,6 +4,7 @@
 #include <LibEntry/Worker.h>
 #include <LibSteering/Events.h>
 #include <functional>
+#include <poll.h>
 #include <vector>
 
 namespace Entry {
@@ -37,9 +38,11 @@
     void startRequested();
     /// Returns false if the connection failed for a local reason.
     static bool tryConnect(Probe&);
+    /// What the descriptors show about the probe's connections.
+    static Steering::ProbeAnswer answerOf(const Probe&, const std::vector<pollfd>&);
     /// Waits until a connection is answered or the next timeout is due, and finishes probes.
     void poll();
-    void finish(const Probe&, bool isReachable);
+    void finish(const Steering::ServerProbed&);
 
     std::function<void()> onResult_;
     Worker worker_;
--- a/Libraries/LibSteering/Connection/StalledFlows.cpp
+++ b/Libraries/LibSteering/Connection/StalledFlows.cpp
@@ -14,7 +14,9 @@
     constexpr int responseSmoothingDivisor = 8;
     /// A single lost first packet is more likely lost on the way.
     constexpr uint32_t attemptTimeoutsBeforeProbe = 2;
-    constexpr Base::milliseconds probeInterval { 300 };
+    constexpr Base::milliseconds usualProbeInterval { 300 };
+    /// A process that starts again may be absent for a fraction of a second only.
+    constexpr Base::milliseconds probeIntervalWithoutStore { 50 };
     /// A server that could not be reached this long ago may be reachable again.
     constexpr Base::milliseconds probeValidity { 1000 };
     /// No request takes this long, also at a slow server with a full queue. A live server whose address stands in a
@@ -30,6 +32,11 @@
     return std::clamp<Base::microseconds>(responseTime_ * stallFactor, minimumStallThreshold, maximumStallThreshold);
 }
 
+Base::milliseconds StalledFlows::probeInterval() const
+{
+    return isStoreReachable_ ? usualProbeInterval : probeIntervalWithoutStore;
+}
+
 void StalledFlows::recordRequest(
     Base::TimePoint now, Base::nanoseconds stallTime, const Packet::FlowKey& flow, FlowRecord& record)
 {
@@ -53,7 +60,7 @@
 
 void StalledFlows::recordAttemptTimeout(Base::TimePoint now, Server& server)
 {
-    if (server.consecutiveTimeouts >= attemptTimeoutsBeforeProbe)
+    if (!isStoreReachable_ || server.consecutiveTimeouts >= attemptTimeoutsBeforeProbe)
         probe(now, server);
 }
 
@@ -64,7 +71,7 @@
 
 void StalledFlows::probe(Base::TimePoint now, Server& server)
 {
-    const bool isRecent = server.lastProbeAt != Base::TimePoint {} && now - server.lastProbeAt < probeInterval;
+    const bool isRecent = server.lastProbeAt != Base::TimePoint {} && now - server.lastProbeAt < probeInterval();
     if (server.isProbePending || isRecent)
         return;
     server.isProbePending = true;
@@ -105,7 +112,7 @@
         // The server was probed a moment ago for another flow; the flow is checked again when it may be probed next.
         if (!server.isProbePending) {
             stalled_.erase(server.entry.number);
-            checks_.push({ check.flow, check.requestSeenAt, server.lastProbeAt + probeInterval });
+            checks_.push({ check.flow, check.requestSeenAt, server.lastProbeAt + probeInterval() });
         }
     }
 }
--- a/Libraries/LibSteering/Connection/StalledFlows.h
+++ b/Libraries/LibSteering/Connection/StalledFlows.h
@@ -29,6 +29,9 @@
     void recordRequest(Base::TimePoint now, Base::nanoseconds stallTime, const Packet::FlowKey&, FlowRecord&);
     /// The caller has acknowledged the first part of the response to the flow's latest request.
     void recordResponse(Base::TimePoint now, Base::nanoseconds stallTime, const FlowRecord&);
+    /// While the store cannot tell that a server has started again, a single first packet without a response causes a
+    /// probe, and probes are made more often.
+    void setStoreReachable(bool isReachable) { isStoreReachable_ = isReachable; }
     /// A first packet got no response from the server.
     void recordAttemptTimeout(Base::TimePoint now, Server&);
     /// Requests probes of the servers of flows that have waited too long.
@@ -40,6 +43,8 @@
     /// A request to an unreachable server was answered with a reset: the server is probed again from time to time.
     void recordReset(Base::TimePoint now, ServerIndex);
 
+    /// Requests a probe unless one is pending or was made recently.
+    void probe(Base::TimePoint now, Server&);
     std::vector<ProbeRequest> takeProbes() { return std::exchange(probes_, {}); }
     std::vector<FlowReset> takeResets() { return std::exchange(resets_, {}); }
 
@@ -53,8 +58,7 @@
     };
 
     Base::microseconds stallThreshold() const;
-    /// Requests a probe unless one is pending or was made recently.
-    void probe(Base::TimePoint now, Server&);
+    Base::milliseconds probeInterval() const;
 
     FlowTable& flows_;
     ServerTable& servers_;
@@ -63,6 +67,7 @@
     std::unordered_map<BackendServerNumber, std::vector<Packet::FlowKey>> stalled_;
     /// Smoothed time from a request to the first acknowledgement of its response.
     Base::microseconds responseTime_ { 25'000 };
+    bool isStoreReachable_ { true };
     std::vector<ProbeRequest> probes_;
     std::vector<FlowReset> resets_;
 };
--- a/Libraries/LibSteering/Events.h
+++ b/Libraries/LibSteering/Events.h
@@ -117,11 +117,21 @@
     Base::Ipv4Endpoint address;
 };
 
+/// How a backend server's host answered a probe.
+enum class ProbeAnswer : uint8_t {
+    /// Not at all, or the probe was not made.
+    None,
+    Accepted,
+    /// The host runs, but no process listens at the address.
+    Refused,
+};
+
 /// The result of a ProbeRequest.
 struct ServerProbed {
     BackendServerNumber server;
     /// False if the address neither accepted nor refused the connection.
     bool isReachable { false };
+    ProbeAnswer answer { ProbeAnswer::None };
 };
 
 /// A reset to be sent to the caller of an open flow whose backend server is gone. It tells nothing about whether the
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -25,6 +25,25 @@
     Free,
 };
 
+/// What is known about a restart of a backend server that the store could not tell; see RestartSuspicion.
+struct RestartEvidence {
+    /// The server completes handshakes although it refuses probes, which therefore show nothing.
+    bool ignoresProbes { false };
+    /// Probes found no process while the store was unreachable, and none has found one since.
+    bool isAbsent { false };
+    /// When probes found no process; the epoch if they always found one.
+    Base::TimePoint absentAt {};
+    /// When the first of consecutive probes was not answered; the epoch if the last one was.
+    Base::TimePoint unansweredSince {};
+    /// Those of them that were not answered while the server's failure domain responded.
+    uint32_t unansweredProbes { 0 };
+    /// How long the server counts as cold because of this node's probes, and because of the reports of peers.
+    Base::TimePoint ownColdUntil {};
+    Base::TimePoint peersColdUntil {};
+    /// The server registered after the store's return; reports of peers are out of date until then.
+    Base::TimePoint confirmedUntil {};
+};
+
 /// State of one backend server in this process.
 struct Server {
     BackendServerEntry entry;
@@ -43,6 +62,7 @@
     /// When an Unconfirmed server becomes Retired, or a Retired one is erased.
     Base::TimePoint presenceEndsAt {};
     Base::TimePoint coldUntil {};
+    RestartEvidence restart;
     /// Consecutive first packets without a response.
     uint32_t consecutiveTimeouts { 0 };
     Base::TimePoint suspectUntil {};
@@ -60,6 +80,10 @@
     /// Moving average of the share of short responses that this node saw; see ResponseQuality.
     double shortResponseShare { 0 };
 
+    bool isCold(Base::TimePoint now) const
+    {
+        return now < coldUntil || now < restart.ownColdUntil || now < restart.peersColdUntil;
+    }
     uint32_t inFlight() const { return ownInFlight + peersInFlight; }
     /// Whether new flows avoid this server because of a later one at its address.
     bool isReplaced() const
--- a/Libraries/LibSteering/Request/ServerChoice.cpp
+++ b/Libraries/LibSteering/Request/ServerChoice.cpp
@@ -101,7 +101,7 @@
         const auto& server = servers_.at(index);
         if (!isUsable(server) || (requirements.isExcluded && requirements.isExcluded(server)))
             continue;
-        if (now < server.coldUntil) {
+        if (server.isCold(now)) {
             anyCold = true;
             continue;
         }
@@ -127,7 +127,7 @@
     std::vector<ServerIndex> cold;
     for (const auto index : servers_.serversOf(requirements.service)) {
         const auto& server = servers_.at(index);
-        if (isUsable(server) && now < server.coldUntil && !(requirements.isExcluded && requirements.isExcluded(server))
+        if (isUsable(server) && server.isCold(now) && !(requirements.isExcluded && requirements.isExcluded(server))
             && !reachability_.isSuspect(now, server.domain) && now >= server.suspectUntil)
             cold.push_back(index);
     }
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -40,6 +40,7 @@
     , responseQuality_({}, servers_)
     , progress_(servers_, responseQuality_)
     , stalledFlows_(flows_, servers_)
+    , restarts_({ .warmUpOf = [this](const Server& server) { return warmUpOf(server.entry.service); } }, servers_)
 {
 }
 
@@ -71,13 +72,16 @@
 
 void SteeringDecider::apply(Base::TimePoint now, const ServerListed& event)
 {
-    Base::milliseconds warmUp { 0 };
-    if (configuration_) {
-        const auto profile = std::ranges::find(configuration_->services, event.entry.service, &ServiceProfile::name);
-        if (profile != configuration_->services.end())
-            warmUp = profile->warmUp;
-    }
-    servers_.addOrUpdate(now, event.entry, warmUp);
+    const bool isRestart = servers_.addOrUpdate(now, event.entry, warmUpOf(event.entry.service));
+    restarts_.recordEntry(now, event.entry.number, isRestart);
+}
+
+Base::milliseconds SteeringDecider::warmUpOf(const std::string& service) const
+{
+    if (!configuration_)
+        return Base::milliseconds(0);
+    const auto profile = std::ranges::find(configuration_->services, service, &ServiceProfile::name);
+    return profile != configuration_->services.end() ? profile->warmUp : Base::milliseconds(0);
 }
 
 void SteeringDecider::apply(Base::TimePoint now, const ServerUnlisted& event)
@@ -116,6 +120,8 @@
 void SteeringDecider::apply(Base::TimePoint now, const StoreReachable& event)
 {
     servers_.setStoreReachable(now, event.isReachable);
+    stalledFlows_.setStoreReachable(event.isReachable);
+    restarts_.setStoreReachable(now, event.isReachable);
 }
 
 Verdict SteeringDecider::refuse(const PacketView& packet, Refusal refusal, VerdictKind kind)
@@ -179,6 +185,7 @@
     const bool wasUnreachable = peer != peerLoads_.peers().end() && now - peer->second.lastReportAt > peerReportTimeout;
     if (!peerLoads_.accept(now, report))
         return false;
+    restarts_.acceptReport(now, report.possiblyRestarted);
     const auto domain = servers_.domainIndex(peer->second.failureDomain);
     if (peer->second.failureDomain == options_.failureDomain || !choice_.isDomainUsable(domain))
         return true;
@@ -332,6 +339,7 @@
 {
     statistics_.failedProbes += result.isReachable ? 0 : 1;
     stalledFlows_.handleProbe(now, result);
+    restarts_.recordProbe(now, result);
 }
 
 void SteeringDecider::completeHandshake(
@@ -467,6 +475,9 @@
         now, [&](const Packet::FlowKey& flow, FlowRecord& record) { return checkRecord(now, flow, record); });
     responseQuality_.expire(now);
     servers_.expire(now);
+    restarts_.expire(now);
+    for (const auto index : restarts_.serversToProbe())
+        stalledFlows_.probe(now, servers_.at(index));
     peerLoads_.expire(now);
     // At a start thousands of peers are listed at once; an update for each of them would take seconds.
     if (isTopologyOutdated_)
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -14,6 +14,7 @@
 #include <LibSteering/Process/PeerTopology.h>
 #include <LibSteering/Process/Readiness.h>
 #include <LibSteering/Process/ResponseQuality.h>
+#include <LibSteering/Process/RestartSuspicion.h>
 #include <LibSteering/Process/ServerTable.h>
 #include <LibSteering/Process/WarmUpAllowance.h>
 #include <LibSteering/Request/HedgeQueue.h>
@@ -98,6 +99,10 @@
     bool acceptReport(Base::TimePoint now, const LoadReport& report);
     /// Requests that this node has in flight, by server.
     std::vector<ServerLoad> ownLoads();
+    /// Servers that may have started again unseen by the store, by this node's probes; see RestartSuspicion.
+    std::vector<BackendServerNumber> possiblyRestarted(Base::TimePoint now) { return restarts_.ownSuspects(now); }
+    /// Increases with each further one.
+    uint64_t restartSuspicionCount() const { return restarts_.suspicionCount(); }
     const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers() const { return peerLoads_.peers(); }
     /// The peers to report to.
     const PeerTopology& topology() const { return topology_; }
@@ -125,6 +130,7 @@
     void apply(Base::TimePoint now, const StateSynchronized&);
     void apply(Base::TimePoint now, const StoreReachable&);
     void updateReadiness(Base::TimePoint now);
+    Base::milliseconds warmUpOf(const std::string& service) const;
 
     Verdict decideFirstPacket(
         Base::TimePoint now, const PacketView&, const CompiledRoute&, std::span<const std::byte> bytes);
@@ -161,6 +167,7 @@
     ResponseQuality responseQuality_;
     FlowProgress progress_;
     StalledFlows stalledFlows_;
+    RestartSuspicion restarts_;
     Readiness readiness_;
     bool isSynchronized_ { false };
     std::shared_ptr<const Configuration> configuration_;
--- a/Tests/LibEntry/TestProbeThread.cpp
+++ b/Tests/LibEntry/TestProbeThread.cpp
@@ -13,8 +13,8 @@
 
 Base::Ipv4Endpoint loopback(uint16_t port) { return { .address = { INADDR_LOOPBACK }, .port = port }; }
 
-/// Probes the address and returns whether it counts as reachable.
-bool probe(const Base::Ipv4Endpoint& address)
+/// Probes the address.
+Steering::ServerProbed probe(const Base::Ipv4Endpoint& address)
 {
     std::mutex mutex;
     std::condition_variable condition;
@@ -34,7 +34,7 @@
     REQUIRE(thread.tryPopResult(result));
     CHECK(result.server == server);
     thread.stop();
-    return result.isReachable;
+    return result;
 }
 
 }
@@ -43,9 +43,13 @@
 {
     const int listener = Peer::listenTcp(loopback(0)).value();
     const auto address = Peer::localEndpoint(listener);
-    CHECK(probe(address));
+    const auto accepted = probe(address);
+    CHECK(accepted.isReachable);
+    CHECK(accepted.answer == Steering::ProbeAnswer::Accepted);
     ::close(listener);
-    CHECK(probe(address));
+    const auto refused = probe(address);
+    CHECK(refused.isReachable);
+    CHECK(refused.answer == Steering::ProbeAnswer::Refused);
 }
 
 TEST_CASE("a host that does not answer is unreachable")
@@ -61,7 +65,9 @@
     std::array<int, 4> sockets {};
     for (int& socket : sockets)
         socket = Peer::startConnecting(address).value();
-    CHECK_FALSE(probe(address));
+    const auto result = probe(address);
+    CHECK_FALSE(result.isReachable);
+    CHECK(result.answer == Steering::ProbeAnswer::None);
     for (const int socket : sockets)
         ::close(socket);
     ::close(listener);
@@ -70,5 +76,7 @@
 TEST_CASE("a connection that fails for a local reason shows nothing about the server")
 {
     // Connecting to a broadcast address fails in the local kernel.
-    CHECK(probe({ .address = { INADDR_BROADCAST }, .port = 80 }));
+    const auto result = probe({ .address = { INADDR_BROADCAST }, .port = 80 });
+    CHECK(result.isReachable);
+    CHECK(result.answer == Steering::ProbeAnswer::None);
 }
