LibEntry: Let no call of StateFeed wait for the packet thread

Cause: a source waited for room in the bounded ring while it held the feed's mutex, and the packet thread, which alone makes room, takes that mutex to report the store's state.

Change: events wait in a queue under a mutex of its own, which is held for one event at a time. Pending events are bounded by the records that the mirror holds anyway. The store's state and its event change together, whichever thread reports.

--- a/Libraries/LibEntry/StateFeed.cpp
+++ b/Libraries/LibEntry/StateFeed.cpp
@@ -3,7 +3,7 @@
 #include <LibEntry/Events.h>
 #include <LibLog/Log.h>
 #include <platform/RecordDecoder.h>
-#include <thread>
+#include <utility>
 
 namespace Entry {
 
@@ -11,10 +11,6 @@
 
     using Log::Fields;
 
-    /// At startup every record arrives at once; the sources wait while the ring is full.
-    constexpr std::size_t ringCapacity = 4096;
-    constexpr Base::milliseconds fullRingRetryInterval { 1 };
-
     void logEvent(const Steering::ConfigurationChanged& event, std::string_view source)
     {
         Log::write(Events::configurationInForce,
@@ -76,16 +72,25 @@
 
 StateFeed::StateFeed(Options options)
     : options_(std::move(options))
-    , events_(ringCapacity)
 {
 }
 
-void StateFeed::push(const Steering::StateEvent& event)
+void StateFeed::push(Steering::StateEvent event)
 {
-    while (!events_.tryPush(event)) {
-        options_.wake();
-        std::this_thread::sleep_for(fullRingRetryInterval);
-    }
+    const std::scoped_lock lock(eventsMutex_);
+    events_.push_back(std::move(event));
+    eventCount_.store(events_.size(), std::memory_order_release);
+}
+
+bool StateFeed::tryPop(Steering::StateEvent& event)
+{
+    if (isEmpty())
+        return false;
+    const std::scoped_lock lock(eventsMutex_);
+    event = std::move(events_.front());
+    events_.pop_front();
+    eventCount_.store(events_.size(), std::memory_order_release);
+    return true;
 }
 
 void StateFeed::applyRecord(const Mirror::Record& record, std::string_view source)
@@ -110,7 +115,7 @@
     const auto* unlisted = std::get_if<Steering::PeerUnlisted>(&**event.value);
     if (unlisted != nullptr && unlisted->peer == options_.self && options_.onOwnRecordRemoved)
         options_.onOwnRecordRemoved();
-    push(**event.value);
+    push(std::move(**event.value));
 }
 
 void StateFeed::apply(const Mirror::ChangeBatch& batch, std::string_view source)
@@ -131,12 +136,16 @@
 
 void StateFeed::setStoreReachable(bool isReachable, std::string_view detail)
 {
-    if (storeReachable_.exchange(isReachable) == isReachable)
-        return;
-    const std::scoped_lock lock(mutex_);
+    {
+        // The last event must agree with the last state, whichever threads report.
+        const std::scoped_lock lock(eventsMutex_);
+        if (storeReachable_.exchange(isReachable) == isReachable)
+            return;
+        events_.push_back(Steering::StoreReachable { .isReachable = isReachable });
+        eventCount_.store(events_.size(), std::memory_order_release);
+    }
     Log::write(isReachable ? Events::storeRegained : Events::storeLost,
-        Fields().add("detail", detail).add("revision", mirror_.revision()));
-    push(Steering::StoreReachable { .isReachable = isReachable });
+        Fields().add("detail", detail).add("revision", revision()));
     options_.wake();
 }
 
--- a/Libraries/LibEntry/StateFeed.h
+++ b/Libraries/LibEntry/StateFeed.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <LibBase/Ring.h>
 #include <LibBase/Time.h>
 #include <LibMirror/Mirror.h>
 #include <LibSteering/Events.h>
 #include <atomic>
+#include <deque>
 #include <functional>
 #include <mutex>
 #include <string_view>
@@ -12,11 +12,14 @@
 namespace Entry {
 
 /// Passes the store's records from their sources (the store, peers) to the packet thread. Records are decoded on the
-/// source's thread and passed on as typed events through a bounded ring.
+/// source's thread and passed on as typed events in the order of their changes.
+///
+/// No call waits for the packet thread, which may report the store's state itself. Pending events are bounded by the
+/// records that the mirror holds anyway, and by the changes since the packet thread last ran.
 class StateFeed {
 public:
     struct Options {
-        /// Called after events are added to the ring.
+        /// Called after events were added.
         std::function<void()> wake;
         Base::EntryVmId self;
         /// Called on any thread when this entry VM's own record was removed from the store. May be empty.
@@ -39,17 +42,21 @@
     uint64_t refusedRecords() const { return refusedRecords_.load(std::memory_order_relaxed); }
 
     /// For the packet thread.
-    bool tryPop(Steering::StateEvent& event) { return events_.tryPop(event); }
-    bool isEmpty() const { return events_.isEmpty(); }
+    bool tryPop(Steering::StateEvent& event);
+    bool isEmpty() const { return eventCount_.load(std::memory_order_acquire) == 0; }
 
 private:
-    void push(const Steering::StateEvent&);
+    void push(Steering::StateEvent);
     void applyRecord(const Mirror::Record&, std::string_view source);
 
     Options options_;
+    /// Protects mirror_, and keeps the events of different sources in the order of their changes.
     mutable std::mutex mutex_;
     Mirror::Mirror mirror_;
-    Base::Ring<Steering::StateEvent> events_;
+    /// Protects events_; held for single events only, so that the packet thread never waits for a batch.
+    std::mutex eventsMutex_;
+    std::deque<Steering::StateEvent> events_;
+    std::atomic<std::size_t> eventCount_ { 0 };
     std::atomic<uint64_t> revision_ { 0 };
     std::atomic<bool> synchronized_ { false };
     std::atomic<bool> storeReachable_ { true };
