LibEntry, deploy: Accept the lifetime of flows and the grace time in seconds

Cause: deploy/settings.json wrote three zeros behind `grace_s` and `flow_lifetime_s`, so that a fraction, which the platform may give, made settings that entryd refuses.

Result: the new test failed before: 'REQUIRE( seconds.isOk() ) with expansion: false'. All tests of TestLibEntry and TestLibSettings pass.

--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -77,6 +77,8 @@
     schema.addMilliseconds("limits.flow_lifetime_ms", settings.limits.flowLifetime,
         { .minimum = 1000, .maximum = 86'400'000 },
         { .documentation = "How long packets still reach a backend server whose entry is gone." });
+    schema.addSeconds("limits.flow_lifetime_s", settings.limits.flowLifetime, { .minimum = 1, .maximum = 86'400 },
+        { .documentation = "The same in seconds; goes before `limits.flow_lifetime_ms`." });
     schema.addReal("warm_up.overshoot", settings.warmUp.overshoot, { .minimum = 0, .maximum = 100 },
         { .documentation = "Factor on a cold backend server's rate that it still bears." });
     schema.addReal("warm_up.slack", settings.warmUp.slack, { .minimum = 0, .maximum = 1000 },
@@ -85,6 +87,8 @@
     schema.addMilliseconds("stop.grace_ms", settings.stop.grace, { .minimum = 0, .maximum = 3'600'000 },
         { .documentation = "Time after which a process that was asked to stop is killed; packets are forwarded until "
                            "1.5 s before that at the longest." });
+    schema.addSeconds("stop.grace_s", settings.stop.grace, { .minimum = 0, .maximum = 3600 },
+        { .documentation = "The same in seconds; goes before `stop.grace_ms`." });
 }
 
 Base::ErrorOr<EntrySettings> readSettings(const std::string& file)
--- a/Libraries/LibSettings/Schema.cpp
+++ b/Libraries/LibSettings/Schema.cpp
@@ -103,19 +103,34 @@
         [&target](uint64_t value) { target = Base::milliseconds(value); });
 }
 
+void Schema::addSeconds(const std::string& path, Base::milliseconds& target, RealRange range, KeyAttributes attributes)
+{
+    if (attributes.unit.empty())
+        attributes.unit = "s";
+    addRealField(path, range, std::move(attributes), Base::toSeconds(target), [&target](double value) {
+        target = std::chrono::round<Base::milliseconds>(std::chrono::duration<double>(value));
+    });
+}
+
 void Schema::addReal(const std::string& path, double& target, RealRange range, KeyAttributes attributes)
+{
+    addRealField(path, range, std::move(attributes), target, [&target](double value) { target = value; });
+}
+
+void Schema::addRealField(const std::string& path, RealRange range, KeyAttributes attributes, double defaultValue,
+    std::function<void(double)> assign)
 {
     std::ostringstream bounds;
     bounds << range.minimum << " to " << range.maximum;
     std::ostringstream defaultText;
-    defaultText << target;
-    auto read = [&target, range, bounds = bounds.str()](const Json& value) -> ErrorOr<void> {
+    defaultText << defaultValue;
+    auto read = [range, assign = std::move(assign), bounds = bounds.str()](const Json& value) -> ErrorOr<void> {
         if (!value.is_number())
             return makeError(ErrorCode::InvalidArgument, "expected a number, " + bounds);
         const auto number = value.get<double>();
         if (number < range.minimum || number > range.maximum)
             return makeError(ErrorCode::OutOfRange, "expected a number, " + bounds + ", found " + value.dump());
-        target = number;
+        assign(number);
         return {};
     };
     addField({ .path = path,
--- a/Libraries/LibSettings/Schema.h
+++ b/Libraries/LibSettings/Schema.h
@@ -52,6 +52,8 @@
     void addInteger(const std::string& path, Integer& target, Range range, const KeyAttributes& attributes);
     /// Declares a number of milliseconds.
     void addMilliseconds(const std::string& path, Base::milliseconds& target, Range, KeyAttributes);
+    /// Declares a number of seconds, also with a fraction; rounded to milliseconds.
+    void addSeconds(const std::string& path, Base::milliseconds& target, RealRange, KeyAttributes);
     /// Declares a real number.
     void addReal(const std::string& path, double& target, RealRange, KeyAttributes);
     void addBoolean(const std::string& path, bool& target, KeyAttributes);
@@ -89,6 +91,8 @@
     };
 
     void addField(Field);
+    void addRealField(
+        const std::string& path, RealRange, KeyAttributes, double defaultValue, std::function<void(double)> assign);
     void addNumber(
         const std::string& path, Range, KeyAttributes, uint64_t defaultValue, std::function<void(uint64_t)> assign);
     Base::ErrorOr<void> readObject(
--- a/Tests/LibEntry/TestEntrySettings.cpp
+++ b/Tests/LibEntry/TestEntrySettings.cpp
@@ -45,6 +45,25 @@
     CHECK(advertised.value->warmUp.overshoot == 1.5);
 }
 
+TEST_CASE("times may be given as seconds, also with a fraction")
+{
+    auto text = sample();
+    text["limits"] = { { "flow_lifetime_s", 90.5 } };
+    text["stop"] = { { "grace_s", 6 } };
+    const auto seconds = read(text);
+    REQUIRE(seconds.isOk());
+    CHECK(seconds.value->limits.flowLifetime == Base::milliseconds(90'500));
+    CHECK(seconds.value->stop.grace == Base::milliseconds(6000));
+    text["limits"] = { { "flow_lifetime_ms", 90'500 } };
+    text["stop"] = { { "grace_ms", 4500 } };
+    const auto milliseconds = read(text);
+    REQUIRE(milliseconds.isOk());
+    CHECK(milliseconds.value->limits.flowLifetime == Base::milliseconds(90'500));
+    CHECK(milliseconds.value->stop.grace == Base::milliseconds(4500));
+    text["stop"] = { { "grace_s", 4000.0 } };
+    CHECK_FALSE(read(text).isOk());
+}
+
 TEST_CASE("invalid settings are rejected")
 {
     auto text = sample();
