--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -147,6 +147,10 @@
         pending.append(buffer.data(), static_cast<std::size_t>(received));
         const auto used = parser.put(boost::asio::buffer(pending), error);
         pending.erase(0, used);
+        if (error == beast::error::body_limit) {
+            return Base::makeError(ErrorCode::TooLarge,
+                "response body longer than " + std::to_string(options_.maximumBodyBytes) + " bytes");
+        }
         if (error && error != beast::error::need_more)
             return Base::makeError(ErrorCode::Malformed, "invalid response: " + error.message());
     }
--- a/Libraries/LibHttp/HttpClient.h
+++ b/Libraries/LibHttp/HttpClient.h
@@ -25,8 +25,8 @@
 
     /// Sends a request and waits for the response. The timeout starts before connecting, which is bounded by
     /// connectTimeout instead. Returns ErrorCode::Unavailable if the request was not sent completely,
-    /// ErrorCode::TimedOut or ErrorCode::Malformed if the server may have processed it. After any failure the next call
-    /// reconnects.
+    /// ErrorCode::TimedOut, ErrorCode::Malformed or ErrorCode::TooLarge if the server may have processed it. After any
+    /// failure the next call reconnects.
     Base::ErrorOr<Response> call(const Request&, Base::milliseconds timeout);
 
     /// Closes the connection; the next call reconnects.
