LibSteering: Take a caller's choice of a server from confirmed tokens only

Cause: a flow offered to two servers is opened by one; the other repeats its handshake response, and the caller's next packet carries that one's token.

Change: first packets carry a tentative token (top bit set, 31 bits of a hash of server, flow and sequence number), later ones a confirmed token (31 bits of a hash of the server's number). Only a confirmed token decides without a record. A tentative one completes a handshake where the attempt was made, at the start of the flow; elsewhere the packet is dropped (unconfirmed_token). An adopted record ignores tentative tokens. A flow that the full table cannot hold gets a confirmed token at once and is offered to one server; copies of its first packet are dropped (flow_table_full). A flow's end with a tentative token keeps its record. Test of the first packet's token: now the tentative token, and the handshake's confirmed one.

--- a/Libraries/LibSteering/Connection/FlowTable.h
+++ b/Libraries/LibSteering/Connection/FlowTable.h
@@ -24,7 +24,7 @@
 };
 
 /// State of a flow on the node that saw its first packet, or a later request. To forward packets, other nodes need only
-/// the token.
+/// a confirmed token.
 struct FlowRecord {
     std::array<BackendServerNumber, maximumConnectionAttempts> attemptedServers {};
     uint8_t attemptCount { 0 };
--- a/Libraries/LibSteering/Events.cpp
+++ b/Libraries/LibSteering/Events.cpp
@@ -17,6 +17,10 @@
         return "no_token";
     case Refusal::UnknownToken:
         return "unknown_token";
+    case Refusal::UnconfirmedToken:
+        return "unconfirmed_token";
+    case Refusal::FlowTableFull:
+        return "flow_table_full";
     case Refusal::ServerGone:
         return "server_gone";
     }
--- a/Libraries/LibSteering/Events.h
+++ b/Libraries/LibSteering/Events.h
@@ -72,6 +72,7 @@
     bool ends { false };
     bool resets { false };
     uint32_t sequence { 0 };
+    /// Of a first packet: how many copies of it the caller has sent before.
     uint32_t acknowledged { 0 };
     uint32_t dataBytes { 0 };
 };
@@ -89,10 +90,14 @@
     NoToken,
     /// The token identifies no backend server known here.
     UnknownToken,
+    /// The token is tentative, and nothing known here shows that the caller chose its server.
+    UnconfirmedToken,
+    /// A copy of the first packet of a flow that the full flow table cannot hold.
+    FlowTableFull,
     /// The flow's backend server has ended or does not respond.
     ServerGone,
 };
-constexpr std::size_t refusalCount = 7;
+constexpr std::size_t refusalCount = 9;
 std::string_view toString(Refusal);
 
 enum class VerdictKind : uint8_t {
--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -69,8 +69,8 @@
 {
     const auto& server = servers_[index];
     serversByService_[server.service].push_back(index);
-    byToken_[server.token].push_back(index);
-    updateShadows(server.token);
+    byToken_[server.confirmedToken].push_back(index);
+    updateShadows(server.confirmedToken);
     byAddress_[server.entry.address].push_back(index);
     updateSuperseded(now, server.entry.address);
 }
@@ -79,12 +79,12 @@
 {
     const auto& server = servers_[index];
     std::erase(serversByService_[server.service], index);
-    auto& serversWithToken = byToken_[server.token];
+    auto& serversWithToken = byToken_[server.confirmedToken];
     std::erase(serversWithToken, index);
     if (serversWithToken.empty())
-        byToken_.erase(server.token);
+        byToken_.erase(server.confirmedToken);
     else
-        updateShadows(server.token);
+        updateShadows(server.confirmedToken);
     auto& serversAtAddress = byAddress_[server.entry.address];
     std::erase(serversAtAddress, index);
     if (serversAtAddress.empty())
@@ -165,7 +165,7 @@
     if (!isKnown)
         server = {};
     server.entry = entry;
-    server.token = FlowToken::of(entry.number);
+    server.confirmedToken = FlowToken::confirmed(entry.number);
     server.service = serviceIndex(entry.service);
     server.domain = domainIndex(entry.failureDomain);
     server.presence = Presence::Listed;
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -28,11 +28,11 @@
 /// State of one backend server in this process.
 struct Server {
     BackendServerEntry entry;
-    FlowToken token;
+    FlowToken confirmedToken;
     ServiceIndex service { 0 };
     DomainIndex domain { 0 };
     Presence presence { Presence::Free };
-    /// Another server of the service has the same token and a smaller number.
+    /// Another server of the service has the same confirmed token and a smaller number.
     bool isShadowed { false };
     /// A server of a configured service that started later is registered at the same address. Another writer may have
     /// made that entry by mistake, so that it alone does not show that this server has ended.
@@ -71,8 +71,8 @@
     static constexpr Base::milliseconds delayedResponseTimeout { 1000 };
 };
 
-/// All backend servers known to this process, by number, by token and by service. Indexes stay valid until the server
-/// is erased.
+/// All backend servers known to this process, by number, by confirmed token and by service. Indexes stay valid until
+/// the server is erased.
 class ServerTable {
 public:
     struct Options {
@@ -113,7 +113,7 @@
     /// A request of this node has ended, or no longer counts as in flight.
     void decrementOwnInFlight(BackendServerNumber);
     std::optional<ServerIndex> find(BackendServerNumber) const;
-    /// The server that a token identifies, preferring those of the given services.
+    /// The server that a confirmed token identifies, preferring those of the given services.
     std::optional<ServerIndex> resolve(FlowToken, const std::vector<ServiceIndex>& services) const;
     std::size_t size() const { return byNumber_.size(); }
     /// Calls function(index, server) for each server.
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -37,6 +37,7 @@
                                      bool isOwnDomain) { return topology_.isLoadKnown(number, isOwnDomain); } },
           servers_, reachability_, allowance_)
     , flows_({ .maximumFlows = options.maximumFlows })
+    , tokens_(servers_)
     , responseQuality_({}, servers_)
     , progress_(servers_, responseQuality_)
     , stalledFlows_(flows_, servers_)
@@ -132,13 +133,17 @@
     return { .kind = kind, .refusal = refusal };
 }
 
-Verdict SteeringDecider::forwardTo(const Server& server)
+Verdict SteeringDecider::forwardTo(const Server& server, FlowToken token)
 {
     ++statistics_.forwarded;
-    return { .kind = VerdictKind::Forward,
-        .server = server.entry.address,
-        .number = server.entry.number,
-        .token = server.token };
+    return {
+        .kind = VerdictKind::Forward, .server = server.entry.address, .number = server.entry.number, .token = token
+    };
+}
+
+Verdict SteeringDecider::forwardFirstPacket(const Server& server, const Packet::FlowKey& flow, const FlowRecord& record)
+{
+    return forwardTo(server, FlowToken::tentative(server.entry.number, flow, record.firstSequence));
 }
 
 Verdict SteeringDecider::decide(Base::TimePoint now, const PacketView& packet, std::span<const std::byte> bytes)
@@ -188,7 +193,8 @@
     return true;
 }
 
-Verdict SteeringDecider::startAttempt(Base::TimePoint now, FlowRecord& record, const Choice& choice)
+Verdict SteeringDecider::startAttempt(
+    Base::TimePoint now, const Packet::FlowKey& flow, FlowRecord& record, const Choice& choice)
 {
     auto& server = servers_.at(choice.server);
     reachability_.recordAttempt(now, server.domain);
@@ -198,7 +204,7 @@
     record.lastAttemptAt = now;
     record.stallTimeAtLastAttempt = totalStallTime_;
     ++statistics_.chosen[static_cast<std::size_t>(choice.tier)];
-    return forwardTo(server);
+    return forwardFirstPacket(server, flow, record);
 }
 
 Verdict SteeringDecider::decideFirstPacket(
@@ -214,7 +220,8 @@
     if (record != nullptr && record->state != FlowState::Opening) {
         // A late retransmission: the flow's own server knows the flow.
         const auto index = servers_.find(record->server);
-        return index ? forwardTo(servers_.at(*index)) : refuse(packet, Refusal::UnknownToken, VerdictKind::Drop);
+        return index ? forwardTo(servers_.at(*index), servers_.at(*index).confirmedToken)
+                     : refuse(packet, Refusal::UnknownToken, VerdictKind::Drop);
     }
     const bool isRetransmission = record != nullptr;
     ++(isRetransmission ? statistics_.retransmissions : statistics_.firstPackets);
@@ -222,6 +229,8 @@
     if (!isRetransmission) {
         record = flows_.add(now, packet.flow);
         statistics_.untracked += record == nullptr ? 1 : 0;
+        if (record == nullptr && packet.acknowledged > 0)
+            return refuse(packet, Refusal::FlowTableFull, VerdictKind::Drop);
         const bool isTracked = record != nullptr;
         record = isTracked ? record : &untracked;
         record->firstSequence = packet.sequence;
@@ -237,15 +246,17 @@
         const auto last
             = isRetransmission ? servers_.find(record->attemptedServers[record->attemptCount - 1]) : std::nullopt;
         if (last && choice_.isUsable(servers_.at(*last)))
-            return forwardTo(servers_.at(*last));
+            return forwardFirstPacket(servers_.at(*last), packet.flow, *record);
         flows_.erase(packet.flow);
         return refuse(packet, Refusal::NoServer, VerdictKind::Reset);
     }
-    const auto verdict = startAttempt(now, *record, *choice);
+    auto verdict = startAttempt(now, packet.flow, *record, *choice);
     reportDecision(isRetransmission ? FlowDecision::Kind::Retransmitted : FlowDecision::Kind::Placed, packet.flow,
         *record, now, &*choice);
     if (record == &untracked) {
+        // Without a record, only a confirmed token opens the flow. No other server is offered it here.
         progress_.stopCounting(untracked);
+        verdict.token = servers_.at(choice->server).confirmedToken;
         return verdict;
     }
     hedges_.add(now, totalStallTime_, packet, bytes);
@@ -258,10 +269,12 @@
     const bool isRequest = packet.dataBytes > 0 && !packet.ends && !packet.resets;
     if (record != nullptr ? !record->isAdopted : !isRequest)
         return record;
+    if (packet.token.isTentative())
+        return record;
     const auto index = servers_.resolve(packet.token, route.services);
     if (!index || (record != nullptr && record->server == servers_.at(*index).entry.number))
         return index ? record : nullptr;
-    // Only the node that saw the handshake knows which server the caller accepted; here the token of each packet
+    // Only the node that saw the handshake knows which server the caller accepted; here the latest confirmed token
     // decides.
     if (record != nullptr)
         progress_.stopCounting(*record);
@@ -281,23 +294,26 @@
 Verdict SteeringDecider::decideLaterPacket(Base::TimePoint now, const PacketView& packet, const CompiledRoute& route)
 {
     auto* record = recordFor(now, packet, route);
-    if (record != nullptr && record->state == FlowState::Opening)
-        completeHandshake(now, *record, packet, route);
     std::optional<ServerIndex> index;
-    if (record != nullptr && record->state != FlowState::Opening)
+    if (record != nullptr && record->state != FlowState::Opening) {
         index = servers_.find(record->server);
-    else if (packet.token.isValid())
-        index = servers_.resolve(packet.token, route.services);
-    if (!index) {
-        const auto refusal = packet.token.isValid() ? Refusal::UnknownToken : Refusal::NoToken;
-        return refuse(packet, refusal, VerdictKind::Drop);
+        if (!index)
+            return refuse(packet, Refusal::UnknownToken, VerdictKind::Drop);
+    } else {
+        const bool isAwaited = record != nullptr && now - record->lastSeen < openingTimeout;
+        const auto resolution = tokens_.resolve(packet, route.services, isAwaited ? record : nullptr);
+        if (!resolution.server)
+            return refuse(packet, resolution.refusal, VerdictKind::Drop);
+        index = resolution.server;
+        if (record != nullptr)
+            completeHandshake(now, *record, packet, *index);
     }
     if (record != nullptr) {
         record->lastSeen = now;
         trackOpenFlow(now, *record, packet);
-        // After a single connection attempt the token alone suffices for the packets that follow.
+        // A confirmed token alone suffices for the packets that follow.
         const bool isOver = packet.ends || packet.resets;
-        if (isOver && record->attemptCount <= 1)
+        if (isOver && record->attemptCount <= 1 && !packet.token.isTentative())
             flows_.erase(packet.flow);
         else if (isOver)
             record->state = FlowState::Ended;
@@ -308,7 +324,7 @@
             abandonRequest(*record);
         return refuse(packet, Refusal::ServerGone, VerdictKind::Reset);
     }
-    return forwardTo(servers_.at(*index));
+    return forwardTo(servers_.at(*index), servers_.at(*index).confirmedToken);
 }
 
 void SteeringDecider::abandonRequest(FlowRecord& record)
@@ -335,21 +351,18 @@
 }
 
 void SteeringDecider::completeHandshake(
-    Base::TimePoint now, FlowRecord& record, const PacketView& packet, const CompiledRoute& route)
+    Base::TimePoint now, FlowRecord& record, const PacketView& packet, ServerIndex index)
 {
     // The caller's first packet after the handshake carries the token of the server it accepted. Later tokens may come
     // from a slower server's response and are ignored.
-    const auto index = servers_.resolve(packet.token, route.services);
-    if (!index)
-        return;
-    auto& server = servers_.at(*index);
+    auto& server = servers_.at(index);
     progress_.recordOpened(record, server, packet);
     server.consecutiveTimeouts = 0;
     server.suspectUntil = {};
     server.lastHandshakeAt = now;
     server.lastResponseAt = now;
     server.unreachableAt = {};
-    servers_.confirmEndOfEarlierServers(*index);
+    servers_.confirmEndOfEarlierServers(index);
     reachability_.recordResponse(server.domain);
     readiness_.recordResponse();
     ++statistics_.opened;
@@ -426,7 +439,7 @@
     if (!choice || choice->tier != ChoiceTier::Sound)
         return std::nullopt;
     ++statistics_.hedgedAttempts;
-    const auto verdict = startAttempt(now, *record, *choice);
+    const auto verdict = startAttempt(now, pending.flow, *record, *choice);
     reportDecision(FlowDecision::Kind::Hedged, pending.flow, *record, now, &*choice);
     return HedgedAttempt { .bytes = pending.bytes, .verdict = verdict };
 }
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -7,6 +7,7 @@
 #include <LibSteering/Connection/FlowProgress.h>
 #include <LibSteering/Connection/FlowTable.h>
 #include <LibSteering/Connection/StalledFlows.h>
+#include <LibSteering/Connection/TokenResolver.h>
 #include <LibSteering/FlowDecision.h>
 #include <LibSteering/Process/DomainReachability.h>
 #include <LibSteering/Process/EntryVmPresence.h>
@@ -129,17 +130,18 @@
     Verdict decideFirstPacket(
         Base::TimePoint now, const PacketView&, const CompiledRoute&, std::span<const std::byte> bytes);
     /// The record of a later packet's flow. Creates one if the packet carries a request of a flow that another node
-    /// opened; returns nullptr if there is none.
+    /// opened and its token is confirmed; returns nullptr if there is none.
     FlowRecord* recordFor(Base::TimePoint now, const PacketView&, const CompiledRoute&);
     Verdict decideLaterPacket(Base::TimePoint now, const PacketView&, const CompiledRoute&);
-    void completeHandshake(Base::TimePoint now, FlowRecord&, const PacketView&, const CompiledRoute&);
+    void completeHandshake(Base::TimePoint now, FlowRecord&, const PacketView&, ServerIndex);
     /// Updates the state of an open or ended flow from a packet of its caller.
     void trackOpenFlow(Base::TimePoint now, FlowRecord&, const PacketView&);
     /// Stops tracking the flow's request, whose caller gets a reset.
     void abandonRequest(FlowRecord&);
     std::optional<Choice> choose(Base::TimePoint now, const Packet::FlowKey&, const CompiledRoute&, const FlowRecord&);
-    Verdict startAttempt(Base::TimePoint now, FlowRecord&, const Choice&);
-    Verdict forwardTo(const Server&);
+    Verdict startAttempt(Base::TimePoint now, const Packet::FlowKey&, FlowRecord&, const Choice&);
+    Verdict forwardTo(const Server&, FlowToken);
+    Verdict forwardFirstPacket(const Server&, const Packet::FlowKey&, const FlowRecord&);
     Verdict refuse(const PacketView&, Refusal, VerdictKind);
     void recordAttemptTimeout(Base::TimePoint now, const FlowRecord&);
     std::optional<HedgedAttempt> hedge(Base::TimePoint now, const HedgeQueue::Pending&);
@@ -158,6 +160,7 @@
     bool isTopologyOutdated_ { false };
     ServerChoice choice_;
     FlowTable flows_;
+    TokenResolver tokens_;
     ResponseQuality responseQuality_;
     FlowProgress progress_;
     StalledFlows stalledFlows_;
--- a/Tests/LibSteering/Fixture.h
+++ b/Tests/LibSteering/Fixture.h
@@ -10,12 +10,13 @@
     using TimePoint = Base::TimePoint;
     using milliseconds = Base::milliseconds;
 
-    SteeringFixture()
+    explicit SteeringFixture(std::size_t maximumFlows = 200'000)
         : decider_({ .self = peer(1),
             .failureDomain = "brum",
             .regions = { { "brum", "midlands" }, { "notts", "midlands" }, { "abroad", "elsewhere" } },
             .warmUpOvershoot = 1.5,
             .warmUpSlack = 5,
+            .maximumFlows = maximumFlows,
             .seed = 7,
             .onDecision = [this](const Steering::FlowDecision& decision) { decisions_.push_back(decision); } })
     {
@@ -97,10 +98,11 @@
         return { .caller = { .address = { 0x64400001 }, .port = callerPort }, .service = service(servicePort) };
     }
 
-    Steering::Verdict sendFirst(uint16_t callerPort, uint16_t servicePort = 443, uint32_t sequence = 1000)
+    Steering::Verdict sendFirst(
+        uint16_t callerPort, uint16_t servicePort = 443, uint32_t sequence = 1000, uint32_t copies = 0)
     {
         const Steering::PacketView view {
-            .flow = flow(callerPort, servicePort), .opensFlow = true, .sequence = sequence
+            .flow = flow(callerPort, servicePort), .opensFlow = true, .sequence = sequence, .acknowledged = copies
         };
         return decider_.decide(now_, view, Steering::FirstPacketBytes {});
     }
@@ -159,7 +161,7 @@
         return first.number;
     }
 
-    static Steering::FlowToken token(uint64_t value) { return Steering::FlowToken::of(number(value)); }
+    static Steering::FlowToken token(uint64_t value) { return Steering::FlowToken::confirmed(number(value)); }
 
 protected:
     TimePoint now_ {};
--- a/Tests/LibSteering/TestFirstPackets.cpp
+++ b/Tests/LibSteering/TestFirstPackets.cpp
@@ -14,14 +14,18 @@
     CHECK(verdict.refusal == Refusal::NotSynchronized);
 }
 
-TEST_CASE_METHOD(SteeringFixture, "a first packet is forwarded to a server with its number and token")
+TEST_CASE_METHOD(SteeringFixture,
+    "a first packet is forwarded with its server's number and tentative token, the handshake with the confirmed one")
 {
     configure();
     listServer(7);
     const auto verdict = sendFirst(1);
     REQUIRE(verdict.kind == VerdictKind::Forward);
     CHECK(verdict.number == number(7));
-    CHECK(verdict.token == token(7));
+    CHECK(verdict.token == Steering::FlowToken::tentative(number(7), flow(1), 1000));
+    CHECK(verdict.token.isTentative());
+    CHECK(send(1, verdict.token).token == token(7));
+    CHECK_FALSE(token(7).isTentative());
     CHECK(verdict.server.port == 80);
 }
 
--- a/Tests/LibSteering/TestLaterPackets.cpp
+++ b/Tests/LibSteering/TestLaterPackets.cpp
@@ -96,12 +96,12 @@
 {
     Steering::ServerTable table({});
     const auto now = Base::TimePoint {} + Base::milliseconds(1000);
-    // 32-bit tokens collide after some ten thousand numbers; find a pair.
+    // Tokens of 31 bits collide after some ten thousand numbers; find a pair.
     std::unordered_map<uint32_t, uint64_t> seen;
     uint64_t first = 0;
     uint64_t second = 0;
     for (uint64_t value = 1; second == 0; ++value) {
-        const auto [place, isNew] = seen.emplace(Steering::FlowToken::of({ value }).value, value);
+        const auto [place, isNew] = seen.emplace(Steering::FlowToken::confirmed({ value }).value, value);
         if (!isNew) {
             first = place->second;
             second = value;
@@ -110,7 +110,7 @@
     const auto entry = [](uint64_t value, const char* service) {
         return Steering::BackendServerEntry { .number = { value }, .service = service, .failureDomain = "brum" };
     };
-    const auto token = Steering::FlowToken::of({ first });
+    const auto token = Steering::FlowToken::confirmed({ first });
     table.addOrUpdate(now, entry(first, "rota"), {});
     table.addOrUpdate(now, entry(second, "sheets"), {});
     const auto numberOf = [&](const char* service) {
