LibSteering: Stop counting the attempts of a flow that is refused

Cause: where a copy of a first packet found no usable server, the record was erased while its attempts still counted as in flight, at their servers and in load reports, until the process ended: an evacuated domain came back with requests that nobody had sent. Change: counting stops before the record is erased. Result: the new test failed before, TestFirstPackets.cpp:195 CHECK( decider_.ownLoads().empty() ) false and passes; TestLibSteering passes.

--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -247,6 +247,7 @@
             = isRetransmission ? servers_.find(record->attemptedServers[record->attemptCount - 1]) : std::nullopt;
         if (last && choice_.isUsable(servers_.at(*last)))
             return forwardFirstPacket(servers_.at(*last), packet.flow, *record);
+        progress_.stopCounting(*record);
         flows_.erase(packet.flow);
         return refuse(packet, Refusal::NoServer, VerdictKind::Reset);
     }
--- a/Tests/LibSteering/TestFirstPackets.cpp
+++ b/Tests/LibSteering/TestFirstPackets.cpp
@@ -183,6 +183,18 @@
     CHECK(sendFirst(11).number == number(1));
 }
 
+TEST_CASE_METHOD(SteeringFixture, "a flow that is refused after an attempt no longer counts as in flight")
+{
+    configure();
+    listServer(1);
+    REQUIRE(sendFirst(1).kind == VerdictKind::Forward);
+    REQUIRE(decider_.ownLoads().size() == 1);
+    decider_.handle(now_, Steering::DomainEvacuation { .failureDomain = "brum", .isEvacuated = true });
+    advance(milliseconds(200));
+    CHECK(sendFirst(1, 443, 1000, 1).refusal == Refusal::NoServer);
+    CHECK(decider_.ownLoads().empty());
+}
+
 TEST_CASE_METHOD(SteeringFixture, "a route with allowed regions uses only servers in them")
 {
     regions_ = { "midlands" };
