LibSteering: Open flows by packets of a first request in any order

Cause: a tentative token was taken only in the packet that starts the flow. Change: within 150 ms of the latest copy seen here, before callers send the next one and another entry VM can offer the flow, a tentative token of an attempt made here opens the flow with any sequence number.

--- a/Libraries/LibSteering/Connection/FlowTable.h
+++ b/Libraries/LibSteering/Connection/FlowTable.h
@@ -14,6 +14,9 @@
 /// a first packet.
 constexpr std::size_t maximumConnectionAttempts = 4;
 
+/// Callers time out 1.4 s after a first packet.
+constexpr Base::milliseconds openingTimeout { 1500 };
+
 enum class FlowState : uint8_t {
     /// The first packet was forwarded; no handshake has been completed yet.
     Opening,
--- a/Libraries/LibSteering/Connection/TokenResolver.cpp
+++ b/Libraries/LibSteering/Connection/TokenResolver.cpp
@@ -4,8 +4,16 @@
 
 namespace Steering {
 
-TokenResolver::Resolution TokenResolver::resolve(
-    const PacketView& packet, const std::vector<ServiceIndex>& services, const FlowRecord* opening) const
+namespace {
+
+    /// Callers send the next copy of a first packet 200 ms later at the earliest. Until then, and with a margin for the
+    /// time on the way, no other node can have offered the flow to a server.
+    constexpr Base::milliseconds soleOfferTime { 150 };
+
+}
+
+TokenResolver::Resolution TokenResolver::resolve(Base::TimePoint now, const PacketView& packet,
+    const std::vector<ServiceIndex>& services, const FlowRecord* opening) const
 {
     if (!packet.token.isValid())
         return { .server = std::nullopt, .refusal = Refusal::NoToken };
@@ -13,14 +21,21 @@
         const auto index = servers_.resolve(packet.token, services);
         return { .server = index, .refusal = index ? Refusal::None : Refusal::UnknownToken };
     }
-    // After the start of a flow that is still awaited here, the caller has opened it through another node, and a
-    // tentative token tells nothing about its choice.
-    const bool isStartOfFlow = opening != nullptr && packet.sequence == opening->firstSequence + 1;
-    if (!isStartOfFlow)
+    if (opening == nullptr || !showsChoice(now, packet, *opening))
         return { .server = std::nullopt, .refusal = Refusal::UnconfirmedToken };
     return resolveTentative(packet, *opening);
 }
 
+bool TokenResolver::showsChoice(Base::TimePoint now, const PacketView& packet, const FlowRecord& opening)
+{
+    const auto age = now - opening.lastSeen;
+    // The packets of a long first request may arrive in any order.
+    if (age < soleOfferTime)
+        return true;
+    // Later on, the caller may have opened the flow through another node, and sent requests since.
+    return age < openingTimeout && packet.sequence == opening.firstSequence + 1;
+}
+
 TokenResolver::Resolution TokenResolver::resolveTentative(const PacketView& packet, const FlowRecord& opening) const
 {
     const auto attempts = std::span(opening.attemptedServers).first(opening.attemptCount);
--- a/Libraries/LibSteering/Connection/TokenResolver.h
+++ b/Libraries/LibSteering/Connection/TokenResolver.h
@@ -23,9 +23,12 @@
 
     /// services: those of the packet's route. opening: the record of the flow if its handshake is awaited here, else
     /// nullptr.
-    Resolution resolve(const PacketView&, const std::vector<ServiceIndex>& services, const FlowRecord* opening) const;
+    Resolution resolve(Base::TimePoint now, const PacketView&, const std::vector<ServiceIndex>& services,
+        const FlowRecord* opening) const;
 
 private:
+    /// Whether a tentative token in the packet tells the caller's choice.
+    static bool showsChoice(Base::TimePoint now, const PacketView&, const FlowRecord& opening);
     /// The server of an attempt made here whose token the packet carries.
     Resolution resolveTentative(const PacketView&, const FlowRecord& opening) const;
 
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -18,8 +18,6 @@
     /// An open flow without packets for this long no longer counts as a request in flight: requests take tens of
     /// milliseconds, and callers retransmit lost packets within 1.6 s.
     constexpr Base::milliseconds inFlightTimeout { 2000 };
-    /// Callers time out 1.4 s after a first packet.
-    constexpr Base::milliseconds openingTimeout { 1500 };
     constexpr Base::milliseconds expiryInterval { 250 };
 
 }
@@ -301,8 +299,7 @@
         if (!index)
             return refuse(packet, Refusal::UnknownToken, VerdictKind::Drop);
     } else {
-        const bool isAwaited = record != nullptr && now - record->lastSeen < openingTimeout;
-        const auto resolution = tokens_.resolve(packet, route.services, isAwaited ? record : nullptr);
+        const auto resolution = tokens_.resolve(now, packet, route.services, record);
         if (!resolution.server)
             return refuse(packet, resolution.refusal, VerdictKind::Drop);
         index = resolution.server;
--- a/Tests/LibSteering/TestFlowTokenSchedules.cpp
+++ b/Tests/LibSteering/TestFlowTokenSchedules.cpp
@@ -233,8 +233,13 @@
         auto& flow = flows_.at(port);
         if (flow.isOver || flow.nextSequence != sequence)
             return;
-        for (uint32_t sent = 0; sent < flow.requestBytes; sent += packetBytes)
-            send(flow, sequence + sent, std::min(packetBytes, flow.requestBytes - sent));
+        std::vector<uint32_t> offsets;
+        for (uint32_t offset = 0; offset < flow.requestBytes; offset += packetBytes)
+            offsets.push_back(offset);
+        if (random_.chance(0.3))
+            std::ranges::reverse(offsets);
+        for (const auto offset : offsets)
+            send(flow, sequence + offset, std::min(packetBytes, flow.requestBytes - offset));
         after(interval, [this, port, sequence, interval] {
             sendRequest(port, sequence, std::min(milliseconds(1600), interval * 2));
         });
