--- a/Tests/LibSteering/TestFirstPackets.cpp
+++ b/Tests/LibSteering/TestFirstPackets.cpp
@@ -14,14 +14,18 @@
     CHECK(verdict.refusal == Refusal::NotSynchronized);
 }
 
-TEST_CASE_METHOD(SteeringFixture, "a first packet is forwarded to a server with its number and token")
+TEST_CASE_METHOD(SteeringFixture,
+    "a first packet is forwarded with its server's number and tentative token, the handshake with the confirmed one")
 {
     configure();
     listServer(7);
     const auto verdict = sendFirst(1);
     REQUIRE(verdict.kind == VerdictKind::Forward);
     CHECK(verdict.number == number(7));
-    CHECK(verdict.token == token(7));
+    CHECK(verdict.token == Steering::FlowToken::tentative(number(7), flow(1), 1000));
+    CHECK(verdict.token.isTentative());
+    CHECK(send(1, verdict.token).token == token(7));
+    CHECK_FALSE(token(7).isTentative());
     CHECK(verdict.server.port == 80);
 }
 
@@ -179,6 +183,18 @@
     CHECK(sendFirst(11).number == number(1));
 }
 
+TEST_CASE_METHOD(SteeringFixture, "a flow that is refused after an attempt no longer counts as in flight")
+{
+    configure();
+    listServer(1);
+    REQUIRE(sendFirst(1).kind == VerdictKind::Forward);
+    REQUIRE(decider_.ownLoads().size() == 1);
+    decider_.handle(now_, Steering::DomainEvacuation { .failureDomain = "brum", .isEvacuated = true });
+    advance(milliseconds(200));
+    CHECK(sendFirst(1, 443, 1000, 1).refusal == Refusal::NoServer);
+    CHECK(decider_.ownLoads().empty());
+}
+
 TEST_CASE_METHOD(SteeringFixture, "a route with allowed regions uses only servers in them")
 {
     regions_ = { "midlands" };
