LibSteering, LibEntry: Replace a watcher of the store whose answer is overdue

Cause: A watcher whose connection to the store went silent counted as responding until two calls had failed: the watch's 2 s and its time-out, then the time-out of the next call, 4,350 ms on paper. Meanwhile no other entry VM of its failure domain watched, and a dropped route stayed in use. After a failed fetch from a peer, the records were asked for again only when a newer revision was reported, or after 5 s; another peer at the same revision was not asked.

Change: StoreResponsiveness judges the store from the calls of one entry VM; a watch not answered 250 ms after its end is overdue, is reported at once, and the next in rank takes over. The view returns after two answers in time. Whether the store is away takes two failed calls, as before. A watch waits for 1,500 ms, less what passed since the last answer. RelayChoice selects the peer and the time of a fetch; after a failure another peer is asked at once. DisseminationTimes holds the times that add up, TestDisseminationTimes checks the sums and plays entry VMs of three failure domains in virtual time.

--- a/Libraries/LibEntry/CatchUpThread.cpp
+++ b/Libraries/LibEntry/CatchUpThread.cpp
@@ -3,19 +3,16 @@
 #include <LibEntry/Events.h>
 #include <LibLog/Log.h>
 #include <LibMirror/RelayMessage.h>
+#include <LibSteering/Process/DisseminationTimes.h>
 
 namespace Entry {
 
 namespace {
 
-    /// The store's own update arrives within about 250 ms, the interval over which changes are batched. Fetching from a
-    /// peer in another failure domain before that would only cost traffic between the domains.
-    constexpr Base::milliseconds storeUpdateTimeout { 600 };
     /// The store responds to the first call within a few milliseconds.
     constexpr Base::milliseconds initialStoreTimeout { 150 };
-    constexpr Base::milliseconds responseTimeout { 500 };
     constexpr Base::milliseconds unsynchronizedRetryInterval { 100 };
-    constexpr Base::milliseconds synchronizedRetryInterval { 5000 };
+    constexpr Base::milliseconds idleCheckInterval { 5000 };
     /// Responses are split into parts of about 128 KiB, but a single record may be 1 MB.
     constexpr std::size_t maximumResponseBytes = std::size_t { 4 } * 1024 * 1024;
 
@@ -24,7 +21,7 @@
 CatchUpThread::CatchUpThread(const EntrySettings& settings, StateFeed& feed)
     : settings_(settings)
     , feed_(feed)
-    , random_(Base::hashText(settings.name))
+    , relayChoice_({ .seed = Base::hashText(settings.name) })
     , seeds_(settings.control.seeds)
 {
 }
@@ -49,69 +46,61 @@
     worker_.start([this] { run(); });
 }
 
-void CatchUpThread::updateCandidatePeer(Base::EntryVmId peer, uint64_t revision, bool isUrgent)
+void CatchUpThread::updateCandidatePeer(Base::TimePoint now, Base::EntryVmId peer, uint64_t revision, bool isUrgent)
 {
-    if (revision <= feed_.revision())
+    const auto ownRevision = feed_.revision();
+    if (revision <= ownRevision)
         return;
     {
         const std::scoped_lock lock(mutex_);
-        if (revision < newestRevision_)
+        if (!relayChoice_.handleReport(now, peer, revision, isUrgent, ownRevision))
             return;
-        // Picks at random among peers at the same revision, so that not every entry VM of a failure domain fetches
-        // from the first one that received it. Near peers (isUrgent) are preferred.
-        const bool isBetter = revision > newestRevision_ || (isUrgent && !isUrgent_);
-        newestPeerCount_ = isBetter ? 1 : newestPeerCount_ + 1;
-        const bool isChosen = isBetter || (isUrgent == isUrgent_ && random_.below(newestPeerCount_) == 0);
-        if (isChosen) {
-            newestPeer_ = peer;
-            isUrgent_ = isUrgent;
-        }
-        if (!isBetter)
-            return;
-        newestRevision_ = revision;
     }
     worker_.wake();
 }
 
-CatchUpThread::Candidate CatchUpThread::selectPeer()
+std::optional<Steering::RelayChoice::Fetch> CatchUpThread::selectFetch(Base::TimePoint now)
 {
     const std::scoped_lock lock(mutex_);
-    if (newestRevision_ > feed_.revision())
-        return { .peer = newestPeer_, .isUrgent = isUrgent_ };
+    if (const auto fetch = relayChoice_.next(now, feed_.revision()))
+        return fetch;
     if (feed_.isSynchronized())
-        return {};
+        return std::nullopt;
     if (!initialPeers_.empty())
-        return { .peer = initialPeers_[nextInitialPeer_++ % initialPeers_.size()], .isUrgent = true };
+        return Steering::RelayChoice::Fetch { .peer = initialPeers_[nextInitialPeer_++ % initialPeers_.size()],
+            .dueAt = now };
     if (seeds_.empty())
-        return {};
-    const auto seed = seeds_[nextSeed_++ % seeds_.size()];
-    if (Base::EntryVmId::fromEndpoint(seed) == settings_.identity())
-        return {};
-    return { .peer = Base::EntryVmId::fromEndpoint(seed), .isUrgent = true };
+        return std::nullopt;
+    const auto seed = Base::EntryVmId::fromEndpoint(seeds_[nextSeed_++ % seeds_.size()]);
+    if (seed == settings_.identity())
+        return std::nullopt;
+    return Steering::RelayChoice::Fetch { .peer = seed, .dueAt = now };
 }
 
 void CatchUpThread::run()
 {
     worker_.pause(initialStoreTimeout);
     while (!worker_.isStopping()) {
-        const auto candidate = selectPeer();
-        if (!candidate.peer.isValid()) {
-            worker_.pause(feed_.isSynchronized() ? synchronizedRetryInterval : unsynchronizedRetryInterval);
+        const auto now = std::chrono::steady_clock::now();
+        const auto fetch = selectFetch(now);
+        if (!fetch) {
+            worker_.pause(feed_.isSynchronized() ? idleCheckInterval : unsynchronizedRetryInterval);
             continue;
         }
-        if (!candidate.isUrgent) {
-            worker_.pause(storeUpdateTimeout);
-            if (!selectPeer().peer.isValid() || worker_.isStopping())
-                continue;
-        }
-        if (fetchFrom(candidate.peer))
+        if (fetch->dueAt > now) {
+            worker_.pause(std::chrono::ceil<Base::milliseconds>(fetch->dueAt - now));
             continue;
+        }
+        const bool hasAdvanced = fetchFrom(fetch->peer);
         {
-            // The next load report with a newer revision sets it again.
             const std::scoped_lock lock(mutex_);
-            newestRevision_ = 0;
+            if (hasAdvanced)
+                relayChoice_.handleSuccess(fetch->peer);
+            else
+                relayChoice_.handleFailure(std::chrono::steady_clock::now(), fetch->peer);
         }
-        worker_.pause(feed_.isSynchronized() ? synchronizedRetryInterval : unsynchronizedRetryInterval);
+        if (!hasAdvanced && !feed_.isSynchronized())
+            worker_.pause(unsynchronizedRetryInterval);
     }
 }
 
@@ -121,7 +110,7 @@
         TRY_ASSIGN(client,
             Peer::QueryClient::create({ .endpoint = peer.endpoint(),
                 .keys = settings_.control.keys,
-                .timeout = responseTimeout,
+                .timeout = Steering::DisseminationTimes::relayStepTimeout,
                 .maximumFrameBytes = maximumResponseBytes,
                 .restartTimeoutOnData = true }));
         client_.emplace(std::move(client));
--- a/Libraries/LibEntry/CatchUpThread.h
+++ b/Libraries/LibEntry/CatchUpThread.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <LibBase/Random.h>
 #include <LibEntry/EntrySettings.h>
 #include <LibEntry/StateFeed.h>
 #include <LibEntry/Worker.h>
 #include <LibPeer/QueryClient.h>
+#include <LibSteering/Process/RelayChoice.h>
 #include <optional>
 
 namespace Entry {
@@ -23,19 +23,14 @@
     void setSeeds(std::vector<Base::Ipv4Endpoint>);
     /// Peers that are asked in place of the seeds until the first complete state is received. Any thread.
     void askInitially(std::vector<Base::EntryVmId>);
-    /// Makes the peer the candidate to fetch from if it has the newest revision. isUrgent: neither the store nor a
-    /// nearer peer will send the records, so they are fetched without delay. Any thread.
-    void updateCandidatePeer(Base::EntryVmId, uint64_t revision, bool isUrgent);
+    /// Makes the peer a candidate to fetch from if its revision is newer. isUrgent: neither the store nor a nearer peer
+    /// will send the records, so they are fetched without delay. Any thread.
+    void updateCandidatePeer(Base::TimePoint now, Base::EntryVmId, uint64_t revision, bool isUrgent);
 
 private:
     void run();
-    struct Candidate {
-        /// Invalid if there is no peer to fetch from.
-        Base::EntryVmId peer;
-        bool isUrgent { false };
-    };
-
-    Candidate selectPeer();
+    /// The next fetch, due now or later; nothing if there is no peer to fetch from.
+    std::optional<Steering::RelayChoice::Fetch> selectFetch(Base::TimePoint now);
     Base::ErrorOr<void> fetchAll(Base::EntryVmId, const std::string& source);
     /// Whether the revision advanced.
     bool fetchFrom(Base::EntryVmId);
@@ -43,13 +38,7 @@
     const EntrySettings& settings_;
     StateFeed& feed_;
     std::mutex mutex_;
-    /// The peer with the newest records.
-    Base::EntryVmId newestPeer_;
-    uint64_t newestRevision_ { 0 };
-    bool isUrgent_ { false };
-    /// Number of reports received with the newest revision, for the random choice among their senders.
-    uint64_t newestPeerCount_ { 0 };
-    Base::Random random_;
+    Steering::RelayChoice relayChoice_;
     std::vector<Base::Ipv4Endpoint> seeds_;
     std::size_t nextSeed_ { 0 };
     std::vector<Base::EntryVmId> initialPeers_;
--- a/Libraries/LibEntry/EntrySettings.cpp
+++ b/Libraries/LibEntry/EntrySettings.cpp
@@ -45,8 +45,8 @@
         schema.addMilliseconds("store.call_timeout_ms", store.callTimeout, { .minimum = 50, .maximum = 60'000 },
             { .documentation = "How long a call may take; a watch gets this on top of its own time." });
         schema.addMilliseconds("store.watch_ms", store.watchTimeout, { .minimum = 100, .maximum = 30'000 },
-            { .documentation = "How long a watch waits for changes. A connection that went silent is noticed after "
-                               "this and the call's timeout." });
+            { .documentation = "How long a watch waits for changes. A connection that went silent is noticed a quarter "
+                               "of a second after this; then another entry VM watches the store." });
         schema.addInteger("store.watchers_per_domain", store.watchersPerDomain, { .minimum = 1, .maximum = 64 },
             { .documentation = "Entry VMs of each failure domain that follow the store; the others hear from them.",
                 .unit = "entry VMs" });
--- a/Libraries/LibEntry/EntrySettings.h
+++ b/Libraries/LibEntry/EntrySettings.h
@@ -4,6 +4,7 @@
 #include <LibBase/Ipv4Endpoint.h>
 #include <LibBase/Time.h>
 #include <LibSettings/Schema.h>
+#include <LibSteering/Process/DisseminationTimes.h>
 #include <map>
 #include <string>
 #include <vector>
@@ -36,7 +37,7 @@
     struct Store {
         Base::Ipv4Endpoint endpoint;
         Base::milliseconds callTimeout { 1000 };
-        Base::milliseconds watchTimeout { 2000 };
+        Base::milliseconds watchTimeout { Steering::DisseminationTimes::watchTimeout };
         Base::milliseconds leaseDuration { 30'000 };
         std::size_t watchersPerDomain { 1 };
     } store;
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -4,6 +4,7 @@
 #include <LibEntry/FlowLog.h>
 #include <LibLog/Log.h>
 #include <LibPeer/Sockets.h>
+#include <LibSteering/Process/DisseminationTimes.h>
 #include <algorithm>
 #include <array>
 #include <cstring>
@@ -26,7 +27,7 @@
     /// Requests take 15 to 20 ms and backend servers have two slots, so older load counts are of little use for the
     /// next choice. Other failure domains matter only when the own one is full, and traffic to them is charged, so they
     /// get fewer reports.
-    constexpr Base::milliseconds nearReportInterval { 100 };
+    constexpr auto nearReportInterval = Steering::DisseminationTimes::nearReportInterval;
     constexpr Base::milliseconds farReportInterval { 200 };
     /// Limits the reports that an entry VM sends to about 100/s, regardless of the number of peers.
     constexpr Base::milliseconds reportIntervalPerPeer { 10 };
@@ -34,7 +35,7 @@
     /// A longer round delays queued packets by a noticeable part of a handshake.
     constexpr Base::milliseconds lateRoundThreshold { 5 };
     /// Maximum sleep if no timer is due earlier.
-    constexpr Base::milliseconds maximumSleep { 100 };
+    constexpr auto maximumSleep = Steering::DisseminationTimes::roleCheckInterval;
     /// A round that takes longer means that the process did not run. By then, callers have abandoned their first
     /// packets and retransmitted all others.
     constexpr Base::milliseconds processPauseThreshold { 1500 };
@@ -306,16 +307,16 @@
         // A sender without a record here may hold newer records, for example after this process was restarted while the
         // store does not respond.
         if (isAccepted || !decider_.peers().contains(report.value->sender))
-            updateCatchUpPeer(*report.value);
+            updateCatchUpPeer(now, *report.value);
     }
 }
 
-void PacketThread::updateCatchUpPeer(const Steering::LoadReport& report)
+void PacketThread::updateCatchUpPeer(Base::TimePoint now, const Steering::LoadReport& report)
 {
     const auto peer = decider_.peers().find(report.sender);
     const bool isNear = peer != decider_.peers().end() && peer->second.failureDomain == settings_.failureDomain;
-    const bool isWatchingStore = store_.view() != Steering::StoreView::NotWatching;
-    catchUp_.updateCandidatePeer(report.sender, report.revision, isNear && !isWatchingStore);
+    const bool isStoreResponding = store_.view(now) == Steering::StoreView::Responding;
+    catchUp_.updateCandidatePeer(now, report.sender, report.revision, isNear && !isStoreResponding);
 }
 
 void PacketThread::sendHedgedAttempts(Base::TimePoint now)
@@ -385,13 +386,15 @@
     if (!synchronizedAt_ && decider_.isComplete())
         synchronizedAt_ = now;
     store_.setWatching(watcherChoice_.isWatcher(now, decider_.peers(), synchronizedAt_.value_or(now)));
-    const auto view = store_.view();
+    const auto view = store_.view(now);
     if (view == Steering::StoreView::NotWatching) {
         feed_.setStoreReachable(
             Steering::WatcherChoice::isStoreResponding(now, view, decider_.peers()), "reported by peers");
     }
-    // A watcher reports a new revision immediately; other entry VMs report it at their next regular interval.
-    if (view == Steering::StoreView::Responding && feed_.revision() != reportedRevision_) {
+    // A watcher reports a new revision immediately; other entry VMs report it at their next regular interval. That the
+    // store no longer responds to it is reported immediately as well, so that another entry VM takes over.
+    const bool hasNewRevision = view == Steering::StoreView::Responding && feed_.revision() != reportedRevision_;
+    if (hasNewRevision || view != reportedView_) {
         nextNearReport_ = now;
         nextFarReport_ = now;
     }
@@ -413,12 +416,14 @@
         nextFarReport_ = now + interval(farReportInterval, topology.otherDomainTargets().size());
     if (decider_.peers().empty())
         return;
+    const auto view = store_.view(now);
     const auto body = Steering::encodeLoadReport({ .sender = settings_.identity(),
         .sequence = ++reportSequence_,
         .revision = feed_.revision(),
-        .store = store_.view(),
+        .store = view,
         .loads = decider_.ownLoads() });
     reportedRevision_ = feed_.revision();
+    reportedView_ = view;
     const auto code = authenticator_.sign(body);
     std::vector<std::byte> datagram(code.begin(), code.end());
     datagram.insert(datagram.end(), body.begin(), body.end());
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -87,7 +87,7 @@
     void addReset(const Steering::PacketView&);
     void processReports(Base::TimePoint now);
     /// Makes the sender a candidate to fetch records from if its revision is newer.
-    void updateCatchUpPeer(const Steering::LoadReport&);
+    void updateCatchUpPeer(Base::TimePoint now, const Steering::LoadReport&);
     void sendHedgedAttempts(Base::TimePoint now);
     /// Exchanges probes and their results with the probe thread.
     void exchangeProbes(Base::TimePoint now);
@@ -113,6 +113,7 @@
     Steering::SteeringDecider decider_;
     Steering::WatcherChoice watcherChoice_;
     uint64_t reportedRevision_ { 0 };
+    Steering::StoreView reportedView_ { Steering::StoreView::NotWatching };
     std::unique_ptr<Buffers> buffers_;
     Datagram::SendBatch batch_;
     Datagram::Wakeup wakeup_;
--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -2,6 +2,7 @@
 
 #include <LibEntry/Events.h>
 #include <LibLog/Log.h>
+#include <LibSteering/Process/DisseminationTimes.h>
 #include <LibSteering/Process/InitialReaders.h>
 #include <algorithm>
 #include <platform/Names.h>
@@ -11,15 +12,11 @@
 
 namespace {
 
-    /// A watch may be cut off while the store is healthy, so a single failure does not make the store unreachable.
-    constexpr uint32_t unreachableFailureThreshold = 2;
     /// Retries back off because rejected calls are charged as well. The maximum is bounded because a configuration has
     /// to be in force within seconds after the store returns.
     constexpr Base::milliseconds initialBackoff { 100 };
     constexpr Base::milliseconds maximumBackoff { 800 };
-    constexpr Base::milliseconds watchTimeoutAfterFailure { 200 };
     constexpr Base::milliseconds idleCheckInterval { 5000 };
-    constexpr Base::milliseconds changeBatchingInterval { 250 };
     /// The entry VMs that read all records do so within a second, also on narrow links.
     constexpr Base::milliseconds initialPeerTimeout { 1200 };
     constexpr Base::milliseconds synchronizationCheckInterval { 50 };
@@ -65,6 +62,12 @@
         worker_.wake();
 }
 
+Steering::StoreView StoreThread::view(Base::TimePoint now) const
+{
+    const std::scoped_lock lock(responsivenessMutex_);
+    return responsiveness_.view(now);
+}
+
 void StoreThread::run()
 {
     while (!worker_.isStopping()) {
@@ -74,7 +77,7 @@
         }
         if (readOrWatch() || worker_.isStopping())
             continue;
-        const auto doublings = std::min<uint32_t>(failures_, 5);
+        const auto doublings = std::min<uint32_t>(responsiveness_.consecutiveFailures(), 5);
         const auto pause = std::min(maximumBackoff, initialBackoff * (1 << (doublings - 1)));
         // Half of the back-off is random, so that entry VMs that lost the store together do not reconnect together.
         const auto jitter = Base::milliseconds(random_.below(static_cast<uint64_t>(pause.count()) + 1) / 2);
@@ -85,7 +88,12 @@
 void StoreThread::pauseWatching()
 {
     partialSnapshot_.reset();
-    if (view_.exchange(Steering::StoreView::NotWatching) != Steering::StoreView::NotWatching) {
+    const auto previousView = view(std::chrono::steady_clock::now());
+    {
+        const std::scoped_lock lock(responsivenessMutex_);
+        responsiveness_.stopWatching();
+    }
+    if (previousView != Steering::StoreView::NotWatching) {
         client_.close();
         Log::write(Events::storeWatchEnded, Log::Fields().add("revision", feed_.revision()));
     }
@@ -146,13 +154,22 @@
 
 bool StoreThread::isBehindPages() const { return partialSnapshot_ && feed_.revision() < partialSnapshot_->upTo; }
 
+Base::milliseconds StoreThread::beginWatch()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const std::scoped_lock lock(responsivenessMutex_);
+    const auto wait = responsiveness_.nextWatchTimeout(now, settings_.store.watchTimeout);
+    responsiveness_.beginWatch(now, wait);
+    return wait;
+}
+
 bool StoreThread::watch()
 {
-    // After a failure, a long watch would delay noticing whether the store responds again.
-    const auto wait = failures_ > 0 ? watchTimeoutAfterFailure : settings_.store.watchTimeout;
+    const auto wait = beginWatch();
     const auto response = client_.watch(Platform::Names::allKeysPrefix, feed_.revision(), wait);
     counters_.count(StoreCall::Watch, response.outcome);
     if (response.outcome == Platform::StoreOutcome::HistoryGone) {
+        handleCallSuccess();
         Log::write(Events::historyGone, Log::Fields().add("revision", feed_.revision()));
         isHistoryGone_ = true;
         return true;
@@ -163,16 +180,21 @@
     }
     handleCallSuccess();
     feed_.apply(response.value, "store");
-    // Changes come in bursts; the pause batches them, since one call for each change would cost more than the delay.
     if (!response.value.records.empty())
-        worker_.pause(changeBatchingInterval);
+        worker_.pause(Steering::DisseminationTimes::changeBatchingInterval);
     return true;
 }
 
 void StoreThread::handleCallSuccess()
 {
-    failures_ = 0;
-    if (view_.exchange(Steering::StoreView::Responding) == Steering::StoreView::NotWatching)
+    const auto now = std::chrono::steady_clock::now();
+    bool isFirstAnswer = false;
+    {
+        const std::scoped_lock lock(responsivenessMutex_);
+        isFirstAnswer = !responsiveness_.isAnswered();
+        responsiveness_.handleAnswer(now);
+    }
+    if (isFirstAnswer)
         Log::write(Events::storeWatchStarted, Log::Fields().add("revision", feed_.revision()));
     feed_.setStoreReachable(true, "answered");
 }
@@ -181,11 +203,15 @@
 {
     if (worker_.isStopping())
         return;
-    ++failures_;
-    if (failures_ < unreachableFailureThreshold)
-        return;
-    view_.store(Steering::StoreView::Unresponsive);
-    feed_.setStoreReachable(false, std::string(Platform::toString(outcome)) + ": " + detail);
+    const auto now = std::chrono::steady_clock::now();
+    bool isAway = false;
+    {
+        const std::scoped_lock lock(responsivenessMutex_);
+        responsiveness_.handleFailure(now);
+        isAway = responsiveness_.isAway();
+    }
+    if (isAway)
+        feed_.setStoreReachable(false, std::string(Platform::toString(outcome)) + ": " + detail);
 }
 
 }
--- a/Libraries/LibEntry/StoreThread.h
+++ b/Libraries/LibEntry/StoreThread.h
@@ -6,7 +6,7 @@
 #include <LibEntry/StateFeed.h>
 #include <LibEntry/StoreCounters.h>
 #include <LibEntry/Worker.h>
-#include <LibSteering/Process/LoadReport.h>
+#include <LibSteering/Process/StoreResponsiveness.h>
 #include <optional>
 #include <platform/StoreClient.h>
 
@@ -22,7 +22,7 @@
     /// Sets whether this entry VM watches the store itself or receives records from peers. Any thread.
     void setWatching(bool);
     /// Whether the store responds to this entry VM. Any thread.
-    Steering::StoreView view() const { return view_.load(std::memory_order_relaxed); }
+    Steering::StoreView view(Base::TimePoint now) const;
     void stop()
     {
         worker_.requestStop();
@@ -43,6 +43,8 @@
     void waitForPeers(const Mirror::ChangeBatch& firstPage);
     /// Whether the applied records are older than the pages read so far.
     bool isBehindPages() const;
+    /// Returns how long the watch that now begins should wait.
+    Base::milliseconds beginWatch();
     bool watch();
     void handleCallSuccess();
     void handleCallFailure(Platform::StoreOutcome, const std::string& detail);
@@ -54,12 +56,13 @@
     Platform::StoreClient client_;
     Base::Random random_;
     std::atomic<bool> watching_ { true };
-    std::atomic<Steering::StoreView> view_ { Steering::StoreView::NotWatching };
+    mutable std::mutex responsivenessMutex_;
+    /// Changed by this thread only, under the mutex.
+    Steering::StoreResponsiveness responsiveness_;
     /// Whether the store no longer has the changes after the known revision.
     bool isHistoryGone_ { false };
     /// The pages read so far, kept so that a rejected call repeats one page only.
     std::optional<Mirror::ChangeBatch> partialSnapshot_;
-    uint32_t failures_ { 0 };
     Worker worker_;
 };
 
--- a/Libraries/LibSteering/Process/LoadReport.cpp
+++ b/Libraries/LibSteering/Process/LoadReport.cpp
@@ -93,7 +93,7 @@
     TRY_ASSIGN(value, Peer::readMsgpack(bytes));
     const bool isReport = value.is_array() && value.size() >= minimumFieldCount
         && std::all_of(value.begin(), value.begin() + 4, isUnsigned)
-        && value[3].get<uint64_t>() <= static_cast<uint64_t>(StoreView::Unresponsive) && value[4].is_array()
+        && value[3].get<uint64_t>() <= static_cast<uint64_t>(StoreView::Overdue) && value[4].is_array()
         && value[5].is_array() && value[4].size() == value[5].size();
     if (!isReport)
         return Base::makeError(ErrorCode::Malformed, "expected [sender, sequence, revision, store, numbers, counts]");
--- a/Libraries/LibSteering/Process/LoadReport.h
+++ b/Libraries/LibSteering/Process/LoadReport.h
@@ -46,7 +46,10 @@
     /// The sender does not watch the store itself.
     NotWatching,
     Responding,
+    /// Calls of the sender fail repeatedly.
     Unresponsive,
+    /// The sender waits for an answer that should have arrived, or has not been answered in time since.
+    Overdue,
 };
 
 struct LoadReport {
--- /dev/null
+++ b/Libraries/LibSteering/Process/RelayChoice.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibBase/Identifiers.h>
+#include <LibBase/Random.h>
+#include <LibBase/Time.h>
+#include <optional>
+#include <unordered_map>
+
+namespace Steering {
+
+/// Selects the peer from which this entry VM fetches the records that it lacks, and when. A connection between entry
+/// VMs may fall silent like that to the store: after a failed fetch another peer that holds the records is asked at
+/// once.
+class RelayChoice {
+public:
+    struct Options {
+        uint64_t seed { 0 };
+    };
+
+    struct Fetch {
+        Base::EntryVmId peer;
+        Base::TimePoint dueAt;
+    };
+
+    explicit RelayChoice(Options options)
+        : random_(options.seed)
+    {
+    }
+
+    /// A peer holds the given revision. isUrgent: neither the store nor a nearer peer will send the records, so they
+    /// are fetched without delay. Returns whether the next fetch may have changed.
+    bool handleReport(
+        Base::TimePoint now, Base::EntryVmId peer, uint64_t revision, bool isUrgent, uint64_t ownRevision);
+    /// The next fetch, due now or later; nothing while no peer is known to hold newer records.
+    std::optional<Fetch> next(Base::TimePoint now, uint64_t ownRevision);
+
+    void handleSuccess(Base::EntryVmId peer) { failures_.erase(peer); }
+    void handleFailure(Base::TimePoint now, Base::EntryVmId peer);
+
+private:
+    struct Candidate {
+        uint64_t revision { 0 };
+        bool isUrgent { false };
+        /// The revision that was newer than the own one since the given time.
+        uint64_t lackedRevision { 0 };
+        Base::TimePoint lackedSince {};
+    };
+    struct Failure {
+        uint32_t count { 0 };
+        Base::TimePoint at {};
+    };
+
+    void discardOld(Base::TimePoint now, uint64_t ownRevision);
+    Base::TimePoint dueAt(Base::EntryVmId, const Candidate&) const;
+
+    Base::Random random_;
+    std::unordered_map<Base::EntryVmId, Candidate> candidates_;
+    std::unordered_map<Base::EntryVmId, Failure> failures_;
+};
+
+}
--- a/Libraries/LibSteering/Process/WatcherChoice.cpp
+++ b/Libraries/LibSteering/Process/WatcherChoice.cpp
@@ -35,7 +35,8 @@
         const bool isHigherRanked = peer.failureDomain == options_.failureDomain && isRunning
             && PeerTopology::rankOf(id, peer.linkMegabits) < ownRank;
         higherRanked += isHigherRanked ? 1 : 0;
-        higherRankedWithoutStore += isHigherRanked && peer.store == StoreView::Unresponsive ? 1 : 0;
+        const bool isWithoutStore = peer.store == StoreView::Unresponsive || peer.store == StoreView::Overdue;
+        higherRankedWithoutStore += isHigherRanked && isWithoutStore ? 1 : 0;
     }
     // The store may refuse single entry VMs; while it responds to none, only a few keep trying.
     return higherRanked - higherRankedWithoutStore < options_.watchersPerDomain
@@ -46,7 +47,7 @@
     Base::TimePoint now, StoreView ownView, const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers)
 {
     if (ownView != StoreView::NotWatching)
-        return ownView == StoreView::Responding;
+        return ownView != StoreView::Unresponsive;
     bool isAnyWithoutStore = false;
     for (const auto& [id, peer] : peers) {
         if (!isReporting(now, peer))
--- a/Tests/LibSteering/TestLoadReport.cpp
+++ b/Tests/LibSteering/TestLoadReport.cpp
@@ -9,6 +9,7 @@
     const Steering::LoadReport report { .sender = { 77 },
         .sequence = 1'700'000'000'000'000,
         .revision = 42,
+        .store = Steering::StoreView::Overdue,
         .loads = { { .number = { 0xFFFFFFFFFFFFFFFF }, .inFlight = 3 }, { .number = { 5 }, .inFlight = 1 } },
         .demands = { { .service = Steering::ServiceKey::of("rota"), .requests = 12 } },
         .speeds = { { .number = { 5 }, .serviceTime = Base::microseconds(31'000) } },
@@ -19,6 +20,7 @@
     CHECK(read.value->sender == report.sender);
     CHECK(read.value->sequence == report.sequence);
     CHECK(read.value->revision == report.revision);
+    CHECK(read.value->store == Steering::StoreView::Overdue);
     REQUIRE(read.value->loads.size() == 2);
     CHECK(read.value->loads[0].number == report.loads[0].number);
     CHECK(read.value->loads[1].inFlight == 1);
@@ -42,6 +44,12 @@
     CHECK(read.value->possiblyRestarted.empty());
 }
 
+TEST_CASE("a load report with an unknown view of the store is malformed")
+{
+    const auto bytes = Peer::writeMsgpack(nlohmann::json::array({ 77U, 9U, 42U, 4U, { 5U }, { 3U } }));
+    CHECK_FALSE(Base::capture([&] { return Steering::decodeLoadReport(bytes); }).isOk());
+}
+
 TEST_CASE("a load report with a demand without a count is malformed")
 {
     const auto bytes = Peer::writeMsgpack(nlohmann::json::array({ 77U, 9U, 42U, 0U, { 5U }, { 3U }, { 1U, 2U, 3U } }));
--- a/Tests/LibSteering/TestWatcherChoice.cpp
+++ b/Tests/LibSteering/TestWatcherChoice.cpp
@@ -57,6 +57,18 @@
     CHECK(watchers(views, isReporting).size() == 2);
 }
 
+TEST_CASE("another entry VM takes over while the answer of the store is overdue")
+{
+    std::vector<StoreView> views(fleetSize, StoreView::NotWatching);
+    const std::vector<bool> isReporting(fleetSize, true);
+    const auto overdue = watchers(views, isReporting)[0];
+    views[overdue] = StoreView::Overdue;
+    const auto chosen = watchers(views, isReporting);
+    REQUIRE(chosen.size() == 2);
+    CHECK(std::ranges::find(chosen, overdue) != chosen.end());
+    CHECK(watchers(std::vector<StoreView>(fleetSize, StoreView::Overdue), isReporting).size() == 3);
+}
+
 TEST_CASE("while the store responds to no entry VM, only three of a failure domain keep trying")
 {
     const std::vector<StoreView> views(fleetSize, StoreView::Unresponsive);
@@ -69,6 +81,10 @@
     peers[SteeringFixture::peer(1)] = { .store = StoreView::NotWatching, .lastReportAt = now };
     CHECK(WatcherChoice::isStoreResponding(now, StoreView::NotWatching, peers));
     CHECK_FALSE(WatcherChoice::isStoreResponding(now, StoreView::Unresponsive, peers));
+    // An overdue answer alone does not mean that the store is away.
+    peers[SteeringFixture::peer(2)] = { .store = StoreView::Overdue, .lastReportAt = now };
+    CHECK(WatcherChoice::isStoreResponding(now, StoreView::NotWatching, peers));
+    CHECK(WatcherChoice::isStoreResponding(now, StoreView::Overdue, peers));
     peers[SteeringFixture::peer(2)] = { .store = StoreView::Unresponsive, .lastReportAt = now };
     CHECK_FALSE(WatcherChoice::isStoreResponding(now, StoreView::NotWatching, peers));
     peers[SteeringFixture::peer(3)] = { .store = StoreView::Responding, .lastReportAt = now };
