LibProgram: Block signals before the settings are read

Cause: a SIGHUP that came before Signals was created, after the settings had been read, ended the process.

Change: the signals are blocked at the begin of runMain, and in a program that links Signals before static objects are initialised. They stay pending until the main loop.

What is left is the time in the dynamic linker, which no code of the program precedes.

--- a/Libraries/LibProgram/Program.cpp
+++ b/Libraries/LibProgram/Program.cpp
@@ -124,6 +124,7 @@
 
 int runMain(int argc, char** argv, const Options& options)
 {
+    Signals::block();
     try {
         return runChecked(argc, argv, options);
     } catch (const cxxopts::exceptions::exception& exception) {
--- a/Libraries/LibProgram/Signals.cpp
+++ b/Libraries/LibProgram/Signals.cpp
@@ -19,6 +19,9 @@
         return signals;
     }
 
+    /// Blocks the signals before the initialisation of static objects, which takes longer than main() up to here.
+    [[gnu::constructor(101)]] void blockSignalsAtStart() { Signals::block(); }
+
     void toggleDebug()
     {
         const bool enabled = !Log::isDebugEnabled();
@@ -28,10 +31,15 @@
 
 }
 
-Signals::Signals()
+void Signals::block()
 {
     const auto signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+Signals::Signals()
+{
+    block();
     std::signal(SIGPIPE, SIG_IGN);
 }
 
--- a/Libraries/LibProgram/Signals.h
+++ b/Libraries/LibProgram/Signals.h
@@ -10,9 +10,12 @@
 /// all threads.
 class Signals {
 public:
-    /// Blocks the signals in the calling thread and in all threads it starts later.
     Signals();
 
+    /// Blocks the signals in the calling thread and in all threads it starts later; they stay pending until
+    /// waitForStop(). Called before anything else, since a SIGHUP would end a process that is still starting.
+    static void block();
+
     /// Sets the hook that SIGHUP calls.
     void setReload(std::function<void()> reload) { reload_ = std::move(reload); }
 
