LibSteering: Reserve room for the names of configured services

Cause: the linter refused ServerTable.cpp since, 'push_back is called inside a loop'.

Change: the vectors are reserved.

Result: lint of ServerTable.cpp and SteeringDecider.cpp is clean; all tests of TestLibSteering pass.

--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -116,6 +116,7 @@
 void ServerTable::setConfiguredServices(Base::TimePoint now, const std::vector<std::string>& names)
 {
     std::vector<ServiceIndex> configured;
+    configured.reserve(names.size());
     for (const auto& name : names)
         configured.push_back(serviceIndex(name));
     std::ranges::sort(configured);
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -57,6 +57,7 @@
     configuration_ = event.configuration;
     routes_.replace(*configuration_, servers_);
     std::vector<std::string> services;
+    services.reserve(configuration_->services.size());
     for (const auto& profile : configuration_->services)
         services.push_back(profile.name);
     servers_.setConfiguredServices(now, services);
