LibOverload: Move the admission queue and the retry budget out of LibFlow

LibFlow's own parts were tied to its types, so that a second copy would have been needed.

Change: Overload::AdmissionQueue is typed on its entry, Overload::RetryBudget on its key. LibFlow uses both (QueuedPacket, budgetKeyOf).

LibDataPath, LibFlowBench and the programs above them were not built here.

--- a/Libraries/LibFlow/Request/FirstPacketHandler.cpp
+++ b/Libraries/LibFlow/Request/FirstPacketHandler.cpp
@@ -18,6 +18,12 @@
     constexpr Base::milliseconds existingFlowWindow { 3000 };
     constexpr double responseTimeSmoothingFactor = 0.1;
 
+    /// Each port class of a service has a retry budget of its own.
+    std::pair<ServiceId, uint32_t> budgetKeyOf(ServiceId service, const Configuration::PortClass& portClass)
+    {
+        return { service, (static_cast<uint32_t>(portClass.port) << 8) | static_cast<uint32_t>(portClass.protocol) };
+    }
+
 }
 
 FirstPacketHandler::FirstPacketHandler(
@@ -148,7 +154,7 @@
     ++state_.statistics.flowsAdmitted;
     if (state_.routing.buckets(entry.service).current().lookUp(entry.key.hash()) != server)
         ++state_.statistics.flowsSpilled;
-    retryBudget_.recordFirstAttempt(entry.service, portClass);
+    retryBudget_.recordFirstAttempt(budgetKeyOf(entry.service, portClass), portClass.retryPermille);
     bool mayRetry = portClass.retryPermille > 0
         && (portClass.protocol == Configuration::Protocol::Tcp ? entry.payloadLength == 0 : portClass.idempotent);
     RetainedPackets::Entry kept { .token = entry.token, .sentTo = server, .sentAt = now, .deadline = entry.deadline };
@@ -320,7 +326,7 @@
         .service = address.service, .portClass = address.portClass, .preferred = {}, .excluded = record.server()
     };
     auto server = admission_.choose(now, request, Admission::Balance::Any);
-    if (!server || !retryBudget_.tryConsume(address.service->id, *address.portClass))
+    if (!server || !retryBudget_.tryConsume(budgetKeyOf(address.service->id, *address.portClass)))
         return false;
     writer.retried(record.server(), *server, reason);
     state_.flows.makeLocal(record, now, *server, FlowState::HalfOpen);
--- a/Libraries/LibFlow/Request/FirstPacketHandler.h
+++ b/Libraries/LibFlow/Request/FirstPacketHandler.h
@@ -2,10 +2,10 @@
 
 #include <LibFlow/Process/ActionWriter.h>
 #include <LibFlow/Request/Admission.h>
-#include <LibFlow/Request/AdmissionQueue.h>
+#include <LibFlow/Request/QueuedPacket.h>
 #include <LibFlow/Request/PacketContext.h>
 #include <LibFlow/Request/RetainedPackets.h>
-#include <LibFlow/Request/RetryBudget.h>
+#include <LibOverload/RetryBudget.h>
 #include <unordered_map>
 
 namespace Flow {
@@ -83,7 +83,7 @@
     const Admission& admission_;
     AdmissionQueue queue_;
     RetainedPackets retainedPackets_;
-    RetryBudget retryBudget_;
+    Overload::RetryBudget<std::pair<ServiceId, uint32_t>> retryBudget_;
     /// Smoothed time from a request to its response, in milliseconds.
     std::unordered_map<ServiceId, double> responseTimes_;
     /// Datagram flows that were recently refused as not run; late duplicates of their packets must not be executed.
