LibSteering, LibEntry: Admit first packets by priority while room is short

Change: Room says per service whether room is short; RoomShares divides the servers' places among entry VMs from the load reports; FirstPacketAdmission gives first packets own places, lets them wait for at most a quarter of their objective, most important first, and rejects the rest (Refusal::NoRoom). Only on routes with a latency objective. No hedged attempt and no suspicion at servers that respond to others while room is short; otherwise these attempts have a budget. Short responses of full servers start no back-off period. First-packet code moves to SteeringDeciderFirstPackets.cpp.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -28,6 +28,11 @@
           registry_.counter("eelgrasshatch_first_packet_copies_total", "Repeated first packets of callers."))
     , hedgedAttempts_(registry_.counter(
           "eelgrasshatch_reoffers_total", "First packets offered to a further backend server before the caller asked."))
+    , hedgesDenied_(registry_.counter("eelgrasshatch_hedges_denied_total",
+          "Hedged attempts not made, since the server that was attempted first responded to others."))
+    , admittedWhileShort_(registry_.counter(
+          "eelgrasshatch_admitted_while_short_total", "First packets that got a place while room was short."))
+    , waitedForRoom_(registry_.counter("eelgrasshatch_waited_for_room_total", "First packets that waited for a place."))
     , opened_(registry_.counter("eelgrasshatch_flows_opened_total", "Flows whose handshake was completed."))
     , neverOpened_(registry_.counter("eelgrasshatch_flows_never_opened_total", "Flows without a completed handshake."))
     , resets_(registry_.counter("eelgrasshatch_resets_total", "Resets sent to callers."))
@@ -50,6 +55,11 @@
     , logLinesDropped_(registry_.counter(
           "eelgrasshatch_log_lines_dropped_total", "Log lines left out because of an event's limit or a full queue."))
     , reportsReceived_(registry_.counter("eelgrasshatch_load_reports_received_total", "Load reports of peers."))
+    , shortServices_(registry_.gauge("eelgrasshatch_services_short", "Services whose room is short."))
+    , places_(registry_.gauge("eelgrasshatch_places", "Requests that the usable backend servers are meant to hold."))
+    , placesTaken_(registry_.gauge(
+          "eelgrasshatch_places_taken", "Requests in flight at these servers, from all entry VMs heard of."))
+    , waiting_(registry_.gauge("eelgrasshatch_first_packets_waiting", "First packets that wait for a place."))
     , flows_(registry_.gauge("eelgrasshatch_flows", "Flows whose progress is followed."))
     , servers_(registry_.gauge("eelgrasshatch_backend_servers", "Backend servers known, departed ones included."))
     , peers_(registry_.gauge("eelgrasshatch_peers", "Other entry VMs known."))
@@ -70,6 +80,11 @@
             "Backend servers chosen for first packets, by how good the choice was.",
             { { "tier", std::string(toString(tier)) } });
     }
+    for (std::size_t index = 0; index < noRoom_.size(); ++index) {
+        noRoom_[index] = &registry_.counter("eelgrasshatch_no_room_total",
+            "First packets rejected for want of room, by the priority of their route (3: 3 and above).",
+            { { "priority", std::to_string(index) } });
+    }
     for (std::size_t call = 0; call < storeCallCount; ++call) {
         for (std::size_t outcome = 0; outcome < Platform::storeOutcomeCount; ++outcome) {
             storeCalls_[call][outcome] = &registry_.counter("eelgrasshatch_store_calls_total", "Calls to the store.",
@@ -92,6 +107,9 @@
     raiseTo(firstPackets_, static_cast<double>(steering.firstPackets));
     raiseTo(firstPacketCopies_, static_cast<double>(steering.retransmissions));
     raiseTo(hedgedAttempts_, static_cast<double>(steering.hedgedAttempts));
+    raiseTo(hedgesDenied_, static_cast<double>(steering.hedgesDenied));
+    raiseTo(admittedWhileShort_, static_cast<double>(steering.admittedWhileShort));
+    raiseTo(waitedForRoom_, static_cast<double>(steering.waitedForRoom));
     raiseTo(opened_, static_cast<double>(steering.opened));
     raiseTo(neverOpened_, static_cast<double>(steering.neverOpened));
     raiseTo(resets_, static_cast<double>(steering.resets));
@@ -117,6 +135,12 @@
     }
     raiseTo(logLinesDropped_, static_cast<double>(Log::droppedLines()));
     raiseTo(reportsReceived_, static_cast<double>(statistics.reportsReceived));
+    for (std::size_t index = 0; index < noRoom_.size(); ++index)
+        raiseTo(*noRoom_[index], static_cast<double>(steering.noRoomByPriority[index]));
+    shortServices_.Set(static_cast<double>(statistics.shortServices));
+    places_.Set(statistics.room.places);
+    placesTaken_.Set(statistics.room.inFlight);
+    waiting_.Set(static_cast<double>(statistics.waiting));
     ready_.Set(statistics.isReady ? 1 : 0);
     configurationVersion_.Set(static_cast<double>(statistics.configurationVersion));
     flows_.Set(static_cast<double>(statistics.flows));
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -20,6 +20,7 @@
     Metrics::Registry registry_;
     std::array<prometheus::Counter*, Steering::refusalCount> refused_ {};
     std::array<prometheus::Counter*, 3> chosen_ {};
+    std::array<prometheus::Counter*, Steering::noRoomPriorityCount> noRoom_ {};
     std::array<std::array<prometheus::Counter*, Platform::storeOutcomeCount>, storeCallCount> storeCalls_ {};
     prometheus::Histogram& handshakes_;
     Steering::SteeringStatistics lastSteering_;
@@ -27,6 +28,9 @@
     prometheus::Counter& firstPackets_;
     prometheus::Counter& firstPacketCopies_;
     prometheus::Counter& hedgedAttempts_;
+    prometheus::Counter& hedgesDenied_;
+    prometheus::Counter& admittedWhileShort_;
+    prometheus::Counter& waitedForRoom_;
     prometheus::Counter& opened_;
     prometheus::Counter& neverOpened_;
     prometheus::Counter& resets_;
@@ -42,6 +46,10 @@
     prometheus::Counter& recordsRefused_;
     prometheus::Counter& logLinesDropped_;
     prometheus::Counter& reportsReceived_;
+    prometheus::Gauge& shortServices_;
+    prometheus::Gauge& places_;
+    prometheus::Gauge& placesTaken_;
+    prometheus::Gauge& waiting_;
     prometheus::Gauge& flows_;
     prometheus::Gauge& servers_;
     prometheus::Gauge& peers_;
--- a/Libraries/LibEntry/FlowLog.cpp
+++ b/Libraries/LibEntry/FlowLog.cpp
@@ -38,6 +38,14 @@
         .add("what", Steering::toString(decision.kind));
     if (decision.refusal != Steering::Refusal::None) {
         fields.add("reason", Steering::toString(decision.refusal));
+        if (decision.refusal == Steering::Refusal::NoRoom) {
+            fields.add("priority", decision.priority)
+                .add("places", decision.room.places)
+                .add("in_progress", decision.room.inFlight)
+                .add("unserved", decision.room.unserved)
+                .add("room_age_ms", decision.roomAge.count())
+                .add("age_us", decision.age.count());
+        }
     } else if (decision.kind == Steering::FlowDecision::Kind::ShortResponse) {
         fields.add("server", decision.server.toString())
             .add("answer_bytes", decision.responseBytes)
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -417,7 +417,8 @@
         .sequence = ++reportSequence_,
         .revision = feed_.revision(),
         .store = store_.view(),
-        .loads = decider_.ownLoads() });
+        .loads = decider_.ownLoads(),
+        .demands = decider_.ownDemands() });
     reportedRevision_ = feed_.revision();
     const auto code = authenticator_.sign(body);
     std::vector<std::byte> datagram(code.begin(), code.end());
@@ -451,6 +452,9 @@
         return;
     nextPublish_ = now + statisticsInterval;
     statistics_.steering = decider_.statistics();
+    statistics_.room = decider_.admission().totalLoad();
+    statistics_.shortServices = decider_.admission().shortServiceCount();
+    statistics_.waiting = decider_.admission().waitingCount();
     statistics_.flows = decider_.flowCount();
     statistics_.servers = decider_.serverCount();
     statistics_.peers = decider_.peers().size();
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -31,6 +31,10 @@
     /// Probes of backend servers; skipped: too many were waiting.
     uint64_t probes { 0 };
     uint64_t probesSkipped { 0 };
+    /// The room of all services together; see Steering::FirstPacketAdmission.
+    Steering::Room::Load room;
+    std::size_t shortServices { 0 };
+    std::size_t waiting { 0 };
     std::size_t flows { 0 };
     std::size_t servers { 0 };
     std::size_t peers { 0 };
--- a/Libraries/LibSteering/Events.cpp
+++ b/Libraries/LibSteering/Events.cpp
@@ -19,6 +19,8 @@
         return "unknown_token";
     case Refusal::ServerGone:
         return "server_gone";
+    case Refusal::NoRoom:
+        return "no_room";
     }
     return "unknown";
 }
--- a/Libraries/LibSteering/Events.h
+++ b/Libraries/LibSteering/Events.h
@@ -91,12 +91,16 @@
     UnknownToken,
     /// The flow's backend server has ended or does not respond.
     ServerGone,
+    /// The room of the route's service is short; the request has not run.
+    NoRoom,
 };
-constexpr std::size_t refusalCount = 7;
+constexpr std::size_t refusalCount = 8;
 std::string_view toString(Refusal);
 
 enum class VerdictKind : uint8_t {
     Forward,
+    /// Nothing is sent now: a first packet that waits for room. It is forwarded or reset later.
+    Wait,
     /// Send the caller a reset, since its flow will not open, or its backend server is gone.
     Reset,
     Drop,
@@ -124,11 +128,12 @@
     bool isReachable { false };
 };
 
-/// A reset to be sent to the caller of an open flow whose backend server is gone. It tells nothing about whether the
-/// caller's request was executed.
+/// A reset to be sent to the caller of an open flow whose backend server is gone, or of a first packet that found no
+/// room. Only the latter shows that the caller's request was not executed.
 struct FlowReset {
     Packet::FlowKey flow;
-    /// What the caller has acknowledged; callers ignore a reset with a sequence number far from it.
+    /// What the caller has acknowledged; callers ignore a reset with a sequence number far from it. Zero if the flow
+    /// has not opened.
     uint32_t acknowledged { 0 };
 };
 
--- a/Libraries/LibSteering/FlowDecision.h
+++ b/Libraries/LibSteering/FlowDecision.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibSteering/Events.h>
+#include <LibSteering/Process/Room.h>
 #include <LibSteering/Request/ServerChoice.h>
 
 namespace Steering {
@@ -32,6 +33,10 @@
     uint32_t responseBytes { 0 };
     uint32_t usualResponseBytes { 0 };
     Base::milliseconds backOffTime { 0 };
+    /// For Refusal::NoRoom: the route's priority, the service's room as used, and the age of that knowledge.
+    uint32_t priority { 0 };
+    Room::Load room {};
+    Base::milliseconds roomAge { 0 };
 };
 std::string_view toString(FlowDecision::Kind);
 
--- a/Libraries/LibSteering/Process/PeerLoads.cpp
+++ b/Libraries/LibSteering/Process/PeerLoads.cpp
@@ -52,6 +52,7 @@
     peer.revision = report.revision;
     peer.store = report.store;
     peer.lastReportAt = now;
+    peer.demands = report.demands;
     for (const auto& load : report.loads) {
         const auto index = servers_.find(load.number);
         if (!index)
--- a/Libraries/LibSteering/Process/PeerLoads.h
+++ b/Libraries/LibSteering/Process/PeerLoads.h
@@ -23,6 +23,8 @@
         /// When the last report was received; the epoch if there was none.
         Base::TimePoint lastReportAt {};
         std::vector<ServerLoad> loads;
+        /// Its demand at services whose room is short.
+        std::vector<ServiceDemand> demands;
     };
 
     explicit PeerLoads(ServerTable& servers)
--- a/Libraries/LibSteering/Process/ResponseQuality.cpp
+++ b/Libraries/LibSteering/Process/ResponseQuality.cpp
@@ -1,4 +1,5 @@
 #include <LibSteering/Process/ResponseQuality.h>
+#include <LibSteering/Process/Room.h>
 
 #include <algorithm>
 
@@ -21,6 +22,13 @@
     /// The estimate of an address without responses for this long is removed; it is learned again within seconds.
     constexpr Base::minutes idleAddressTimeout { 10 };
 
+    /// Whether the server holds as many requests as it is meant to, without the back-off periods.
+    bool isFull(const Server& server)
+    {
+        return server.inFlight() - std::min(server.ownBackOffs, server.ownInFlight)
+            >= server.entry.slots * Room::placesPerSlot;
+    }
+
 }
 
 bool ResponseQuality::updateEstimate(LengthEstimate& usual, uint32_t bytes) const
@@ -68,6 +76,9 @@
     auto& server = servers_.at(*index);
     auto& usual = usual_[service];
     usual.lastResponseAt = now;
+    // A full server rejects requests, which is no failure.
+    if (isFull(server) && bytes < usual.bytes * shortResponseFactor)
+        return std::nullopt;
     const bool isShort = updateEstimate(usual, bytes);
     server.shortResponseShare += ((isShort ? 1.0 : 0.0) - server.shortResponseShare) * shortShareSmoothingFactor;
     if (!isShort || backOffs_.size() >= options_.maximumBackOffs)
@@ -77,6 +88,7 @@
         return std::nullopt;
     const auto backOff = std::chrono::duration_cast<Base::milliseconds>(options_.maximumBackOff * excess);
     ++server.ownInFlight;
+    ++server.ownBackOffs;
     backOffs_.emplace(now + backOff, number);
     return ShortResponse { .bytes = bytes, .usualBytes = static_cast<uint32_t>(usual.bytes), .backOffTime = backOff };
 }
@@ -84,7 +96,10 @@
 void ResponseQuality::expire(Base::TimePoint now)
 {
     while (!backOffs_.empty() && backOffs_.begin()->first <= now) {
-        servers_.decrementOwnInFlight(backOffs_.begin()->second);
+        const auto number = backOffs_.begin()->second;
+        servers_.decrementOwnInFlight(number);
+        if (const auto index = servers_.find(number); index && servers_.at(*index).ownBackOffs > 0)
+            --servers_.at(*index).ownBackOffs;
         backOffs_.erase(backOffs_.begin());
     }
     boost::unordered::erase_if(
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -57,6 +57,8 @@
     /// Requests in flight from this node, and from its peers as reported.
     uint32_t ownInFlight { 0 };
     uint32_t peersInFlight { 0 };
+    /// The part of ownInFlight that stands for back-off periods; see ResponseQuality.
+    uint32_t ownBackOffs { 0 };
     /// Moving average of the share of short responses that this node saw; see ResponseQuality.
     double shortResponseShare { 0 };
 
@@ -102,6 +104,7 @@
     void expire(Base::TimePoint now);
 
     ServiceIndex serviceIndex(const std::string& name);
+    const std::string& serviceName(ServiceIndex service) const { return services_[service]; }
     DomainIndex domainIndex(const std::string& name);
     const std::string& domainName(DomainIndex domain) const { return domains_[domain]; }
     std::size_t domainCount() const { return domains_.size(); }
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -6,12 +6,6 @@
 
 namespace {
 
-    /// A single lost packet does not make a server suspect if it completed a handshake this recently.
-    constexpr Base::milliseconds recentHandshakeLimit { 1000 };
-    constexpr Base::milliseconds minimumSuspicionTime { 500 };
-    constexpr Base::milliseconds maximumSuspicionTime { 4000 };
-    /// After a suspicion, one first packet at a time probes the server; the response to it takes less than this.
-    constexpr Base::milliseconds probeTimeout { 200 };
     /// A peer without a report for this long was unreachable or down; reports are sent every 200 ms.
     constexpr Base::milliseconds peerReportTimeout { 700 };
 
@@ -36,6 +30,11 @@
                   .isLoadKnown = [this](BackendServerNumber number,
                                      bool isOwnDomain) { return topology_.isLoadKnown(number, isOwnDomain); } },
           servers_, reachability_, allowance_)
+    , admission_({ .self = options.self,
+                     .failureDomain = options.failureDomain,
+                     .isLoadKnown = [this](BackendServerNumber number,
+                                        bool isOwnDomain) { return topology_.isLoadKnown(number, isOwnDomain); } },
+          servers_, choice_, peerLoads_)
     , flows_({ .maximumFlows = options.maximumFlows })
     , responseQuality_({}, servers_)
     , progress_(servers_, responseQuality_)
@@ -151,28 +150,6 @@
     return packet.opensFlow ? decideFirstPacket(now, packet, *route, bytes) : decideLaterPacket(now, packet, *route);
 }
 
-std::optional<Choice> SteeringDecider::choose(
-    Base::TimePoint now, const Packet::FlowKey& flow, const CompiledRoute& route, const FlowRecord& record)
-{
-    const auto* share = route.shareFor(flow);
-    if (share == nullptr)
-        return std::nullopt;
-    const auto isExcluded = [&](const Server& server) {
-        if (record.wasAttemptedAt(server.entry.number))
-            return true;
-        if (route.regions.empty())
-            return false;
-        const auto region = options_.regions.find(server.entry.failureDomain);
-        return region == options_.regions.end()
-            || std::ranges::find(route.regions, region->second) == route.regions.end();
-    };
-    return choice_.choose(now,
-        { .service = share->service,
-            .warmUpRequestsPerSecond = share->warmUpRequestsPerSecond,
-            .isExcluded = isExcluded,
-            .peers = &peerIds_ });
-}
-
 bool SteeringDecider::acceptReport(Base::TimePoint now, const LoadReport& report)
 {
     const auto peer = peerLoads_.peers().find(report.sender);
@@ -188,70 +165,6 @@
     return true;
 }
 
-Verdict SteeringDecider::startAttempt(Base::TimePoint now, FlowRecord& record, const Choice& choice)
-{
-    auto& server = servers_.at(choice.server);
-    reachability_.recordAttempt(now, server.domain);
-    if (server.consecutiveTimeouts > 1)
-        server.suspectUntil = std::max(server.suspectUntil, now + probeTimeout);
-    FlowProgress::recordAttempt(record, server);
-    record.lastAttemptAt = now;
-    record.stallTimeAtLastAttempt = totalStallTime_;
-    ++statistics_.chosen[static_cast<std::size_t>(choice.tier)];
-    return forwardTo(server);
-}
-
-Verdict SteeringDecider::decideFirstPacket(
-    Base::TimePoint now, const PacketView& packet, const CompiledRoute& route, std::span<const std::byte> bytes)
-{
-    auto* record = flows_.find(packet.flow);
-    if (record != nullptr && (record->isAdopted || record->firstSequence != packet.sequence)) {
-        // The caller has reused its port.
-        progress_.stopCounting(*record);
-        flows_.erase(packet.flow);
-        record = nullptr;
-    }
-    if (record != nullptr && record->state != FlowState::Opening) {
-        // A late retransmission: the flow's own server knows the flow.
-        const auto index = servers_.find(record->server);
-        return index ? forwardTo(servers_.at(*index)) : refuse(packet, Refusal::UnknownToken, VerdictKind::Drop);
-    }
-    const bool isRetransmission = record != nullptr;
-    ++(isRetransmission ? statistics_.retransmissions : statistics_.firstPackets);
-    FlowRecord untracked;
-    if (!isRetransmission) {
-        record = flows_.add(now, packet.flow);
-        statistics_.untracked += record == nullptr ? 1 : 0;
-        const bool isTracked = record != nullptr;
-        record = isTracked ? record : &untracked;
-        record->firstSequence = packet.sequence;
-        record->firstSeen = now;
-    } else {
-        recordAttemptTimeout(now, *record);
-    }
-    record->lastSeen = now;
-    const auto choice
-        = record->attemptCount < maximumConnectionAttempts ? choose(now, packet.flow, route, *record) : std::nullopt;
-    if (!choice) {
-        // No further server can be tried; the last one may still respond.
-        const auto last
-            = isRetransmission ? servers_.find(record->attemptedServers[record->attemptCount - 1]) : std::nullopt;
-        if (last && choice_.isUsable(servers_.at(*last)))
-            return forwardTo(servers_.at(*last));
-        flows_.erase(packet.flow);
-        return refuse(packet, Refusal::NoServer, VerdictKind::Reset);
-    }
-    const auto verdict = startAttempt(now, *record, *choice);
-    reportDecision(isRetransmission ? FlowDecision::Kind::Retransmitted : FlowDecision::Kind::Placed, packet.flow,
-        *record, now, &*choice);
-    if (record == &untracked) {
-        progress_.stopCounting(untracked);
-        return verdict;
-    }
-    hedges_.add(now, totalStallTime_, packet, bytes);
-    return verdict;
-}
-
 FlowRecord* SteeringDecider::recordFor(Base::TimePoint now, const PacketView& packet, const CompiledRoute& route)
 {
     auto* record = flows_.find(packet.flow);
@@ -325,6 +238,8 @@
             abandonRequest(*record);
         refuse({ .flow = reset.flow, .acknowledged = reset.acknowledged }, Refusal::ServerGone, VerdictKind::Reset);
     }
+    resets.insert(resets.end(), rejected_.begin(), rejected_.end());
+    rejected_.clear();
     return resets;
 }
 
@@ -359,7 +274,8 @@
     ++statistics_.handshakes[static_cast<std::size_t>(bucket)];
     statistics_.handshakeSum += sample;
     if (record.attemptCount == 1)
-        hedges_.recordHandshake(sample);
+        hedges_.recordHandshake(
+            sample - std::chrono::duration_cast<Base::microseconds>(record.lastAttemptAt - record.firstSeen));
     else
         reportDecision(FlowDecision::Kind::Opened, packet.flow, record, now, nullptr);
 }
@@ -388,49 +304,6 @@
         .backOffTime = shortResponse->backOffTime });
 }
 
-void SteeringDecider::recordAttemptTimeout(Base::TimePoint now, const FlowRecord& record)
-{
-    // A caller's retransmission may arrive while the response to its first packet is still unread.
-    const auto elapsedWithoutStalls = now - record.lastAttemptAt - (totalStallTime_ - record.stallTimeAtLastAttempt);
-    if (record.attemptCount == 0 || elapsedWithoutStalls < hedges_.delay())
-        return;
-    const auto index = servers_.find(record.attemptedServers[record.attemptCount - 1]);
-    if (!index)
-        return;
-    ++statistics_.attemptTimeouts;
-    auto& server = servers_.at(*index);
-    ++server.consecutiveTimeouts;
-    stalledFlows_.recordAttemptTimeout(now, server);
-    reachability_.recordTimeout(now, server.domain);
-    readiness_.recordTimeout(now, reachability_.totalConsecutiveTimeouts());
-    const bool isLikelyPacketLoss
-        = server.consecutiveTimeouts == 1 && now - server.lastHandshakeAt < recentHandshakeLimit;
-    if (isLikelyPacketLoss)
-        return;
-    const auto doublings = std::min<uint32_t>(server.consecutiveTimeouts, 4) - 1;
-    server.suspectUntil
-        = std::max(server.suspectUntil, now + std::min(maximumSuspicionTime, minimumSuspicionTime * (1 << doublings)));
-}
-
-std::optional<HedgedAttempt> SteeringDecider::hedge(Base::TimePoint now, const HedgeQueue::Pending& pending)
-{
-    auto* record = flows_.find(pending.flow);
-    const bool isOpening = record != nullptr && record->state == FlowState::Opening
-        && record->firstSequence == pending.sequence && record->attemptCount < maximumConnectionAttempts;
-    const auto* route = routes_.find(pending.flow.service);
-    if (!isOpening || route == nullptr)
-        return std::nullopt;
-    recordAttemptTimeout(now, *record);
-    const auto choice = choose(now, pending.flow, *route, *record);
-    // A hedged attempt is made only at a sound server; otherwise the caller's own retransmission is soon enough.
-    if (!choice || choice->tier != ChoiceTier::Sound)
-        return std::nullopt;
-    ++statistics_.hedgedAttempts;
-    const auto verdict = startAttempt(now, *record, *choice);
-    reportDecision(FlowDecision::Kind::Hedged, pending.flow, *record, now, &*choice);
-    return HedgedAttempt { .bytes = pending.bytes, .verdict = verdict };
-}
-
 bool SteeringDecider::checkRecord(Base::TimePoint now, const Packet::FlowKey& flow, FlowRecord& record)
 {
     const auto idleTime = now - record.lastSeen;
@@ -459,6 +332,7 @@
         if (auto attempt = hedge(now, *pending))
             dueAttempts.push_back(*attempt);
     }
+    dispatchWaiting(now, dueAttempts);
     stalledFlows_.runDueChecks(now, totalStallTime_);
     if (now < nextExpiry_)
         return dueAttempts;
@@ -475,12 +349,15 @@
     // In a partitioned domain only part of the entry VMs report here.
     readiness_.setOutnumbered(now, topology_.cellCount() == 1 && presence_.isOutnumbered(now, peerLoads_.peers()));
     allowance_.expire(now);
+    admission_.refresh(now);
     return dueAttempts;
 }
 
 Base::TimePoint SteeringDecider::nextTimer(Base::TimePoint now) const
 {
-    return std::max(now, std::min({ nextExpiry_, stalledFlows_.nextCheck(), hedges_.nextDue(totalStallTime_) }));
+    return std::max(now,
+        std::min(
+            { nextExpiry_, stalledFlows_.nextCheck(), hedges_.nextDue(totalStallTime_), admission_.nextDeadline() }));
 }
 
 std::vector<ServerLoad> SteeringDecider::ownLoads()
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -16,6 +16,7 @@
 #include <LibSteering/Process/ResponseQuality.h>
 #include <LibSteering/Process/ServerTable.h>
 #include <LibSteering/Process/WarmUpAllowance.h>
+#include <LibSteering/Request/FirstPacketAdmission.h>
 #include <LibSteering/Request/HedgeQueue.h>
 #include <LibSteering/Request/ServerChoice.h>
 #include <LibSteering/Version/RouteTable.h>
@@ -30,6 +31,9 @@
     Base::milliseconds(20), Base::milliseconds(40), Base::milliseconds(80), Base::milliseconds(200),
     Base::milliseconds(600), Base::milliseconds(1400) };
 
+/// Priorities that are counted apart; the last one stands for all larger numbers.
+inline constexpr std::size_t noRoomPriorityCount = 4;
+
 /// Totals since the start.
 struct SteeringStatistics {
     uint64_t forwarded { 0 };
@@ -53,6 +57,13 @@
     uint64_t shortResponses { 0 };
     std::array<uint64_t, refusalCount> refused {};
     std::array<uint64_t, 3> chosen {};
+    /// First packets that got a place while room was short, at once or after waiting.
+    uint64_t admittedWhileShort { 0 };
+    uint64_t waitedForRoom { 0 };
+    /// First packets rejected for want of room, by the priority of their route.
+    std::array<uint64_t, noRoomPriorityCount> noRoomByPriority {};
+    /// Hedged attempts not made, since the attempted server responded to others.
+    uint64_t hedgesDenied { 0 };
 };
 
 class SteeringDecider {
@@ -83,10 +94,10 @@
     /// The host read no packets for this long, since it was busy or did not run. Responses that arrived meanwhile are
     /// still unread, so that response timeouts exclude that time.
     void recordStall(Base::nanoseconds time) { totalStallTime_ += time; }
-    /// Does what is due, and returns the hedged connection attempts to be sent.
+    /// Does what is due, and returns the hedged connection attempts and the first packets that have waited, to be sent.
     std::vector<HedgedAttempt> handleTimers(Base::TimePoint now);
-    /// Resets for the callers of open flows whose servers turned out to be gone. Call after handleTimers and
-    /// handleProbe.
+    /// Resets for the callers of open flows whose servers turned out to be gone, and of first packets that waited for
+    /// room in vain. Call after handleTimers and handleProbe.
     std::vector<FlowReset> takeResets();
     /// Probes to be made. Each must be answered by a call of handleProbe.
     std::vector<ProbeRequest> takeProbes() { return stalledFlows_.takeProbes(); }
@@ -98,6 +109,9 @@
     bool acceptReport(Base::TimePoint now, const LoadReport& report);
     /// Requests that this node has in flight, by server.
     std::vector<ServerLoad> ownLoads();
+    /// The room that this node needs at services whose room is short.
+    std::vector<ServiceDemand> ownDemands() const { return admission_.demands(); }
+    const FirstPacketAdmission& admission() const { return admission_; }
     const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers() const { return peerLoads_.peers(); }
     /// The peers to report to.
     const PeerTopology& topology() const { return topology_; }
@@ -137,7 +151,26 @@
     void trackOpenFlow(Base::TimePoint now, FlowRecord&, const PacketView&);
     /// Stops tracking the flow's request, whose caller gets a reset.
     void abandonRequest(FlowRecord&);
-    std::optional<Choice> choose(Base::TimePoint now, const Packet::FlowKey&, const CompiledRoute&, const FlowRecord&);
+    /// needsPlace: a server with a place that is free is required, since room is short.
+    std::optional<Choice> choose(
+        Base::TimePoint now, const Packet::FlowKey&, const CompiledRoute&, const FlowRecord&, bool needsPlace);
+    bool isInAllowedRegion(const CompiledRoute&, const Server&) const;
+    /// Whether new flows of the route may go to any of the service's servers.
+    bool hasUsableServer(const CompiledRoute&, ServiceIndex) const;
+    Verdict decideNewFlow(
+        Base::TimePoint now, const PacketView&, const CompiledRoute&, FlowRecord&, std::span<const std::byte> bytes);
+    Verdict decideRetransmission(
+        Base::TimePoint now, const PacketView&, const CompiledRoute&, FlowRecord&, std::span<const std::byte> bytes);
+    Verdict waitForRoom(
+        Base::TimePoint now, const PacketView&, const TrafficClass&, ServiceIndex, std::span<const std::byte> bytes);
+    /// Counts and logs the rejection of a first packet that found no room.
+    void recordNoRoom(Base::TimePoint now, const WaitingFirstPacket&);
+    void rejectWaiting(Base::TimePoint now, const WaitingFirstPacket&);
+    void dispatchWaiting(Base::TimePoint now, std::vector<HedgedAttempt>& dueAttempts);
+    /// Returns whether the first packet no longer waits.
+    bool dispatch(Base::TimePoint now, const WaitingFirstPacket&, std::vector<HedgedAttempt>& dueAttempts);
+    /// Whether the server that was attempted last has responded to another flow since.
+    bool isServerResponding(const FlowRecord&) const;
     Verdict startAttempt(Base::TimePoint now, FlowRecord&, const Choice&);
     Verdict forwardTo(const Server&);
     Verdict refuse(const PacketView&, Refusal, VerdictKind);
@@ -157,6 +190,9 @@
     /// The list of peers has changed since topology_ was computed.
     bool isTopologyOutdated_ { false };
     ServerChoice choice_;
+    FirstPacketAdmission admission_;
+    /// Resets of first packets that waited in vain.
+    std::vector<FlowReset> rejected_;
     FlowTable flows_;
     ResponseQuality responseQuality_;
     FlowProgress progress_;
--- a/Tests/LibSteering/TestResponseQuality.cpp
+++ b/Tests/LibSteering/TestResponseQuality.cpp
@@ -90,3 +90,30 @@
     sendData(1, first.token, 1001, 3001);
     CHECK(decider_.ownLoads().empty());
 }
+
+TEST_CASE_METHOD(ResponseFixture, "short responses of a full server are rejections and start no back-off period")
+{
+    serve(200, completeResponse);
+    std::vector<std::pair<uint16_t, Steering::FlowToken>> flowsOfServer;
+    for (uint16_t port = 1000; port < 1040; ++port) {
+        const auto first = sendFirst(port);
+        if (first.number == number(1))
+            flowsOfServer.emplace_back(port, first.token);
+    }
+    REQUIRE(flowsOfServer.size() == 10);
+    advance(milliseconds(4));
+    for (const auto& [port, token] : flowsOfServer)
+        sendData(port, token, 1001, 501);
+    // Six of them, three for each slot, are still in flight afterwards.
+    for (std::size_t index = 0; index < 4; ++index) {
+        const auto& [port, token] = flowsOfServer[index];
+        const Steering::PacketView end { .flow = flow(port),
+            .token = token,
+            .acknowledges = true,
+            .ends = true,
+            .sequence = 1101,
+            .acknowledged = 551 };
+        decider_.decide(now_, end, Steering::FirstPacketBytes {});
+    }
+    CHECK(decider_.statistics().shortResponses == 0);
+}
