LibSteering: Test that less important requests keep a part of the room

Cause: no test held the share that less important classes are given.

Change: a case in which important requests alone are 1.3 times the room.

--- a/Tests/LibSteering/TestOverload.cpp
+++ b/Tests/LibSteering/TestOverload.cpp
@@ -78,3 +78,17 @@
         CHECK(statistics.waitedForRoom == 0);
     }
 }
+
+TEST_CASE("when important requests alone exceed the room, the others keep a small part of it")
+{
+    auto options = shortageOptions(4);
+    options.classes[0].requestsPerSecond = roomPerSecond * 1.3;
+    options.classes[1].requestsPerSecond = roomPerSecond * 0.5;
+    OverloadCluster cluster(options);
+    runShortage(cluster);
+    INFO(summary(cluster));
+    CHECK(share(cluster.answeredInTime(), measuredRoom) >= 0.9);
+    CHECK(share(cluster.traffic(0).inTime, measuredRoom) >= 0.8);
+    // One admission in eleven.
+    CHECK(share(cluster.traffic(1).inTime, measuredRoom) >= 0.06);
+}
