--- a/Libraries/LibFlow/Request/FirstPacketHandler.h
+++ b/Libraries/LibFlow/Request/FirstPacketHandler.h
@@ -2,8 +2,8 @@
 
 #include <LibFlow/Process/ActionWriter.h>
 #include <LibFlow/Request/Admission.h>
-#include <LibFlow/Request/QueuedPacket.h>
 #include <LibFlow/Request/PacketContext.h>
+#include <LibFlow/Request/QueuedPacket.h>
 #include <LibFlow/Request/RetainedPackets.h>
 #include <LibOverload/RetryBudget.h>
 #include <unordered_map>
--- a/Libraries/LibSteering/Request/FirstPacketAdmission.cpp
+++ b/Libraries/LibSteering/Request/FirstPacketAdmission.cpp
@@ -214,8 +214,8 @@
 {
     std::vector<WaitingFirstPacket> first;
     for (const auto& id : queue_.subqueues()) {
-        for (auto& entry : queue_.front(id, 1))
-            first.push_back(std::move(entry));
+        for (const auto& entry : queue_.front(id, 1))
+            first.push_back(entry);
     }
     std::ranges::stable_sort(first, [&](const auto& left, const auto& right) {
         if (left.service != right.service)
