--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -428,6 +428,7 @@
         .revision = feed_.revision(),
         .store = view,
         .loads = decider_.ownLoads(),
+        .demands = decider_.ownDemands(),
         .possiblyRestarted = decider_.possiblyRestarted(now) });
     reportedRevision_ = feed_.revision();
     reportedView_ = view;
@@ -463,6 +464,9 @@
         return;
     nextPublish_ = now + statisticsInterval;
     statistics_.steering = decider_.statistics();
+    statistics_.room = decider_.admission().totalLoad();
+    statistics_.shortServices = decider_.admission().shortServiceCount();
+    statistics_.waiting = decider_.admission().waitingCount();
     statistics_.flows = decider_.flowCount();
     statistics_.servers = decider_.serverCount();
     statistics_.peers = decider_.peers().size();
--- a/Libraries/LibSteering/Events.cpp
+++ b/Libraries/LibSteering/Events.cpp
@@ -23,6 +23,8 @@
         return "flow_table_full";
     case Refusal::ServerGone:
         return "server_gone";
+    case Refusal::NoRoom:
+        return "no_room";
     }
     return "unknown";
 }
