LibSteering: Divert flows of a service without servers or room to the route's others

Cause: The service of a flow's share was fixed by the flow's hash.

Change: ShareChoice chooses among the services of a route. Weights hold by hash on each entry VM as before; a service without a sound server or without a place gets its flows diverted to the others by their weights, and gets them back with hysteresis. Weight 0 and services that the route does not name get none. Routes with one service of a weight above 0 are decided as before. Flow log lines name share_asked, share_given and diverted; eelgrasshatch_share_diversions_total counts.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -70,6 +70,12 @@
             "Backend servers chosen for first packets, by how good the choice was.",
             { { "tier", std::string(toString(tier)) } });
     }
+    for (std::size_t index = 0; index < shareDiversions_.size(); ++index) {
+        const auto diversion = static_cast<Steering::ShareDiversion>(index);
+        shareDiversions_[index] = &registry_.counter("eelgrasshatch_share_diversions_total",
+            "Backend servers chosen, by why they are of another service than the flow's share.",
+            { { "reason", std::string(toString(diversion)) } });
+    }
     for (std::size_t call = 0; call < storeCallCount; ++call) {
         for (std::size_t outcome = 0; outcome < Platform::storeOutcomeCount; ++outcome) {
             storeCalls_[call][outcome] = &registry_.counter("eelgrasshatch_store_calls_total", "Calls to the store.",
@@ -109,6 +115,8 @@
         raiseTo(*refused_[index], static_cast<double>(steering.refused[index]));
     for (std::size_t index = 0; index < chosen_.size(); ++index)
         raiseTo(*chosen_[index], static_cast<double>(steering.chosen[index]));
+    for (std::size_t index = 0; index < shareDiversions_.size(); ++index)
+        raiseTo(*shareDiversions_[index], static_cast<double>(steering.shareDiversions[index]));
     for (std::size_t call = 0; call < storeCallCount; ++call) {
         for (std::size_t outcome = 0; outcome < Platform::storeOutcomeCount; ++outcome) {
             const auto total = store.total(static_cast<StoreCall>(call), static_cast<Platform::StoreOutcome>(outcome));
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -20,6 +20,7 @@
     Metrics::Registry registry_;
     std::array<prometheus::Counter*, Steering::refusalCount> refused_ {};
     std::array<prometheus::Counter*, 3> chosen_ {};
+    std::array<prometheus::Counter*, Steering::shareDiversionCount> shareDiversions_ {};
     std::array<std::array<prometheus::Counter*, Platform::storeOutcomeCount>, storeCallCount> storeCalls_ {};
     prometheus::Histogram& handshakes_;
     Steering::SteeringStatistics lastSteering_;
--- a/Libraries/LibEntry/FlowLog.cpp
+++ b/Libraries/LibEntry/FlowLog.cpp
@@ -50,6 +50,11 @@
             .add("own_in_progress", decision.ownInFlight)
             .add("peers_in_progress", decision.peersInFlight)
             .add("age_us", decision.age.count());
+        if (decision.diversion != Steering::ShareDiversion::None) {
+            fields.add("share_asked", decision.serviceAsked)
+                .add("share_given", decision.serviceGiven)
+                .add("diverted", Steering::toString(decision.diversion));
+        }
     }
     fields.add("version", decision.configurationVersion);
     Log::write(eventFor(decision.kind), fields);
--- a/Libraries/LibSteering/FlowDecision.h
+++ b/Libraries/LibSteering/FlowDecision.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibSteering/Events.h>
-#include <LibSteering/Request/ServerChoice.h>
+#include <LibSteering/Request/ShareChoice.h>
 
 namespace Steering {
 
@@ -22,6 +22,10 @@
     uint32_t sequence { 0 };
     BackendServerNumber server;
     ChoiceTier tier { ChoiceTier::Sound };
+    /// Why the flow went to another service than its share's, and both services; the names are empty if it did not.
+    ShareDiversion diversion { ShareDiversion::None };
+    std::string serviceAsked;
+    std::string serviceGiven;
     Refusal refusal { Refusal::None };
     uint32_t ownInFlight { 0 };
     uint32_t peersInFlight { 0 };
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -102,6 +102,7 @@
     void expire(Base::TimePoint now);
 
     ServiceIndex serviceIndex(const std::string& name);
+    const std::string& serviceName(ServiceIndex service) const { return services_[service]; }
     DomainIndex domainIndex(const std::string& name);
     const std::string& domainName(DomainIndex domain) const { return domains_[domain]; }
     std::size_t domainCount() const { return domains_.size(); }
--- a/Libraries/LibSteering/Request/ServerChoice.cpp
+++ b/Libraries/LibSteering/Request/ServerChoice.cpp
@@ -83,6 +83,12 @@
         && !evacuated_.contains(server.domain);
 }
 
+bool ServerChoice::isSound(Base::TimePoint now, const Server& server) const
+{
+    return isUsable(server) && now >= server.coldUntil && now >= server.suspectUntil
+        && !reachability_.isSuspect(now, server.domain);
+}
+
 double ServerChoice::cost(const Server& server) const
 {
     const auto slots = static_cast<double>(std::max<uint32_t>(1, server.entry.slots));
--- a/Libraries/LibSteering/Request/ServerChoice.h
+++ b/Libraries/LibSteering/Request/ServerChoice.h
@@ -56,6 +56,8 @@
     bool isDomainUsable(DomainIndex domain) const { return !evacuated_.contains(domain); }
     /// Whether new flows may go to the server at all.
     bool isUsable(const Server&) const;
+    /// Whether new flows may go to the server, it is warm and not suspect.
+    bool isSound(Base::TimePoint now, const Server&) const;
 
 private:
     double cost(const Server&) const;
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -36,6 +36,7 @@
                   .isLoadKnown = [this](BackendServerNumber number,
                                      bool isOwnDomain) { return topology_.isLoadKnown(number, isOwnDomain); } },
           servers_, reachability_, allowance_)
+    , shareChoice_({}, servers_, choice_)
     , flows_({ .maximumFlows = options.maximumFlows })
     , responseQuality_({}, servers_)
     , progress_(servers_, responseQuality_)
@@ -55,6 +56,7 @@
         return;
     configuration_ = event.configuration;
     routes_.replace(*configuration_, servers_);
+    shareChoice_.reset();
     std::vector<std::string> services;
     for (const auto& profile : configuration_->services)
         services.push_back(profile.name);
@@ -154,23 +156,21 @@
 std::optional<Choice> SteeringDecider::choose(
     Base::TimePoint now, const Packet::FlowKey& flow, const CompiledRoute& route, const FlowRecord& record)
 {
-    const auto* share = route.shareFor(flow);
-    if (share == nullptr)
-        return std::nullopt;
-    const auto isExcluded = [&](const Server& server) {
-        if (record.wasAttemptedAt(server.entry.number))
-            return true;
+    const auto isForbidden = [&](const Server& server) {
         if (route.regions.empty())
             return false;
         const auto region = options_.regions.find(server.entry.failureDomain);
         return region == options_.regions.end()
             || std::ranges::find(route.regions, region->second) == route.regions.end();
     };
-    return choice_.choose(now,
-        { .service = share->service,
-            .warmUpRequestsPerSecond = share->warmUpRequestsPerSecond,
-            .isExcluded = isExcluded,
-            .peers = &peerIds_ });
+    const auto wasAttempted = [&](const Server& server) { return record.wasAttemptedAt(server.entry.number); };
+    const auto result = shareChoice_.choose(
+        now, flow, route, { .isForbidden = isForbidden, .wasAttempted = wasAttempted, .peers = &peerIds_ });
+    if (!result)
+        return std::nullopt;
+    ++statistics_.shareDiversions[static_cast<std::size_t>(result->diversion)];
+    lastShare_ = *result;
+    return result->choice;
 }
 
 bool SteeringDecider::acceptReport(Base::TimePoint now, const LoadReport& report)
@@ -508,6 +508,11 @@
         const auto& server = servers_.at(choice->server);
         decision.server = server.entry.number;
         decision.tier = choice->tier;
+        if (lastShare_.diversion != ShareDiversion::None) {
+            decision.diversion = lastShare_.diversion;
+            decision.serviceAsked = servers_.serviceName(lastShare_.asked);
+            decision.serviceGiven = servers_.serviceName(lastShare_.given);
+        }
         decision.ownInFlight = server.ownInFlight;
         decision.peersInFlight = server.peersInFlight;
     }
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -18,6 +18,7 @@
 #include <LibSteering/Process/WarmUpAllowance.h>
 #include <LibSteering/Request/HedgeQueue.h>
 #include <LibSteering/Request/ServerChoice.h>
+#include <LibSteering/Request/ShareChoice.h>
 #include <LibSteering/Version/RouteTable.h>
 #include <array>
 #include <functional>
@@ -53,6 +54,8 @@
     uint64_t shortResponses { 0 };
     std::array<uint64_t, refusalCount> refused {};
     std::array<uint64_t, 3> chosen {};
+    /// Chosen servers, by why their service is not that of the flow's share; None if it is.
+    std::array<uint64_t, shareDiversionCount> shareDiversions {};
 };
 
 class SteeringDecider {
@@ -157,6 +160,9 @@
     /// The list of peers has changed since topology_ was computed.
     bool isTopologyOutdated_ { false };
     ServerChoice choice_;
+    ShareChoice shareChoice_;
+    /// The share of the latest choice, for the log.
+    ShareChoice::ShareResult lastShare_;
     FlowTable flows_;
     ResponseQuality responseQuality_;
     FlowProgress progress_;
--- a/Libraries/LibSteering/Version/RouteTable.cpp
+++ b/Libraries/LibSteering/Version/RouteTable.cpp
@@ -17,6 +17,31 @@
     return share;
 }
 
+std::vector<const RouteTable::Share*> RouteTable::CompiledRoute::otherSharesFor(
+    const Packet::FlowKey& flow, const Share& own) const
+{
+    std::vector<const Share*> remaining;
+    for (const auto& share : shares) {
+        if (&share != &own && share.weight > 0)
+            remaining.push_back(&share);
+    }
+    auto remainingWeight = totalWeight - own.weight;
+    std::vector<const Share*> ordered;
+    while (!remaining.empty()) {
+        // Independent of the point that determines the own share.
+        auto point = Base::mix(flow.hash(), remaining.size()) % remainingWeight;
+        auto next = remaining.begin();
+        while (point >= (*next)->weight) {
+            point -= (*next)->weight;
+            ++next;
+        }
+        remainingWeight -= (*next)->weight;
+        ordered.push_back(*next);
+        remaining.erase(next);
+    }
+    return ordered;
+}
+
 void RouteTable::replace(const Configuration& configuration, ServerTable& servers)
 {
     routes_.clear();
--- a/Libraries/LibSteering/Version/RouteTable.h
+++ b/Libraries/LibSteering/Version/RouteTable.h
@@ -24,6 +24,9 @@
 
         /// The service of a flow's first packet, the same for all copies of it; nullptr if the total weight is zero.
         const Share* shareFor(const Packet::FlowKey&) const;
+        /// The route's other shares of a weight above 0, in the order in which the flow is diverted to them; the same
+        /// for all copies of a first packet. Over many flows, the shares' weights divide the first places.
+        std::vector<const Share*> otherSharesFor(const Packet::FlowKey&, const Share& own) const;
     };
 
     /// Replaces all routes by those of another configuration.
--- a/Tests/LibEntry/TestReasons.cpp
+++ b/Tests/LibEntry/TestReasons.cpp
@@ -71,6 +71,25 @@
     }
 }
 
+TEST_CASE("each reason for diverting a flow from its share has a counter and appears in the log line")
+{
+    Log::initialize("test");
+    const auto metrics = Entry::EntryMetrics().text();
+    CapturedOutput output;
+    for (std::size_t index = 0; index < Steering::shareDiversionCount; ++index) {
+        const auto diversion = static_cast<Steering::ShareDiversion>(index);
+        const std::string name(Steering::toString(diversion));
+        INFO(name);
+        CHECK(name != "unknown");
+        CHECK(contains(metrics, "eelgrasshatch_share_diversions_total{reason=\"" + name + "\"}"));
+        Entry::logFlowDecision({ .diversion = diversion, .serviceAsked = "large", .serviceGiven = "small" });
+        const auto line = output.readAndClear();
+        const bool isDiverted = diversion != Steering::ShareDiversion::None;
+        CHECK(contains(line, "\"diverted\":\"" + name + "\"") == isDiverted);
+        CHECK(contains(line, R"("share_asked":"large","share_given":"small")") == isDiverted);
+    }
+}
+
 TEST_CASE("other kinds of packet loss have their own counters")
 {
     const auto metrics = Entry::EntryMetrics().text();
