LibSteering: Measure service times and weigh requests in flight by them

Cause: The cost of a backend server was its requests in flight per slot, whatever its speed.

Change: ServiceTimes estimates each server's service time relative to the median server of its service, from requests that found at most half of the slots taken, as a lower quartile for each server and service address. Load reports share the estimates of servers that clearly differ, at most 64; ServerSpeed now holds a ratio in thousandths instead of microseconds, since entry VMs see different mixes of routes. ServerChoice multiplies the requests in flight per slot by the ratio. Equal servers have a ratio of exactly 1, and the same cost as before. Servers with short responses never count as fast. TestLoadReport checks the ratio as strictly as the microseconds before.

--- a/Libraries/LibEntry/FlowLog.cpp
+++ b/Libraries/LibEntry/FlowLog.cpp
@@ -2,6 +2,7 @@
 
 #include <LibEntry/Events.h>
 #include <LibLog/Log.h>
+#include <cmath>
 
 namespace Entry {
 
@@ -49,6 +50,7 @@
             .add("tier", Steering::toString(decision.tier))
             .add("own_in_progress", decision.ownInFlight)
             .add("peers_in_progress", decision.peersInFlight)
+            .add("service_time_percent", std::lround(decision.relativeServiceTime * 100))
             .add("age_us", decision.age.count());
         if (decision.diversion != Steering::ShareDiversion::None) {
             fields.add("share_asked", decision.serviceAsked)
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -417,7 +417,8 @@
         .sequence = ++reportSequence_,
         .revision = feed_.revision(),
         .store = store_.view(),
-        .loads = decider_.ownLoads() });
+        .loads = decider_.ownLoads(),
+        .speeds = decider_.ownSpeeds() });
     reportedRevision_ = feed_.revision();
     const auto code = authenticator_.sign(body);
     std::vector<std::byte> datagram(code.begin(), code.end());
--- a/Libraries/LibSteering/Connection/FlowProgress.cpp
+++ b/Libraries/LibSteering/Connection/FlowProgress.cpp
@@ -48,6 +48,7 @@
     if (!isNewData)
         return progress;
     record.requestEndSequence = dataEnd;
+    progress.hasRequestData = true;
     if (record.isAwaitingResponse)
         return progress;
     record.isAwaitingResponse = true;
--- a/Libraries/LibSteering/Connection/FlowProgress.h
+++ b/Libraries/LibSteering/Connection/FlowProgress.h
@@ -23,6 +23,7 @@
     /// What a caller's packet of an open or ended flow shows.
     struct Progress {
         bool startsRequest { false };
+        bool hasRequestData { false };
         /// The packet is the first that acknowledges a part of the response to the latest request.
         bool startsResponse { false };
         /// Set if the packet ends a response that starts a back-off period of the server.
--- a/Libraries/LibSteering/Connection/FlowTable.h
+++ b/Libraries/LibSteering/Connection/FlowTable.h
@@ -42,9 +42,13 @@
     uint32_t requestEndSequence { 0 };
     /// A request was seen whose response has not been rated yet; see ResponseQuality.
     bool isAwaitingResponse { false };
+    /// That request found a free slot; see ServiceTimes.
+    bool isServiceTimeSample { false };
     /// When that request was first seen, and the node's total stall time then; see SteeringDecider.
     Base::TimePoint requestSeenAt {};
     Base::nanoseconds stallTimeAtRequest { 0 };
+    /// When the latest data of that request was seen.
+    Base::TimePoint requestDataSeenAt {};
     Base::TimePoint firstSeen {};
     Base::TimePoint lastSeen {};
     /// Time of the latest connection attempt, and the node's total stall time then; see SteeringDecider.
--- a/Libraries/LibSteering/FlowDecision.h
+++ b/Libraries/LibSteering/FlowDecision.h
@@ -29,6 +29,7 @@
     Refusal refusal { Refusal::None };
     uint32_t ownInFlight { 0 };
     uint32_t peersInFlight { 0 };
+    double relativeServiceTime { 1 };
     uint64_t configurationVersion { 0 };
     /// Time since the flow's first packet.
     Base::microseconds age { 0 };
--- a/Libraries/LibSteering/Process/LoadReport.cpp
+++ b/Libraries/LibSteering/Process/LoadReport.cpp
@@ -20,8 +20,8 @@
     /// More requests in flight than any server can handle; a report with a larger count is malformed.
     constexpr uint64_t maximumInFlight = 100'000;
 
-    /// A request that takes longer has timed out; a report with a longer service time is malformed.
-    constexpr uint64_t maximumServiceTimeMicroseconds = 60'000'000;
+    /// Estimates are cut off far below; a report with a larger one is malformed.
+    constexpr uint64_t maximumRelativeThousandths = 1'000'000;
 
     bool isUnsigned(const Json& value) { return value.is_number_unsigned(); }
 
@@ -47,8 +47,8 @@
         TRY(readPairs(value, demandsField, maximumInFlight, [&](uint64_t service, uint64_t requests) {
             report.demands.push_back({ { service }, static_cast<uint32_t>(requests) });
         }));
-        TRY(readPairs(value, speedsField, maximumServiceTimeMicroseconds, [&](uint64_t number, uint64_t time) {
-            report.speeds.push_back({ { number }, Base::microseconds(static_cast<int64_t>(time)) });
+        TRY(readPairs(value, speedsField, maximumRelativeThousandths, [&](uint64_t number, uint64_t thousandths) {
+            report.speeds.push_back({ { number }, static_cast<uint32_t>(thousandths) });
         }));
         if (value.size() <= restartsField)
             return {};
@@ -78,7 +78,7 @@
     auto speeds = Json::array();
     for (const auto& speed : report.speeds) {
         speeds.push_back(speed.number.value);
-        speeds.push_back(static_cast<uint64_t>(speed.serviceTime.count()));
+        speeds.push_back(speed.relativeThousandths);
     }
     auto restarts = Json::array();
     for (const auto number : report.possiblyRestarted)
--- a/Libraries/LibSteering/Process/LoadReport.h
+++ b/Libraries/LibSteering/Process/LoadReport.h
@@ -38,7 +38,9 @@
 /// A backend server whose service time differs from that of its service.
 struct ServerSpeed {
     BackendServerNumber number;
-    Base::microseconds serviceTime { 0 };
+    /// Service time in thousandths of that of the median server of its service. Relative, since the requests that
+    /// entry VMs see differ in work.
+    uint32_t relativeThousandths { 1000 };
 };
 
 /// Whether the store responds to the sender of a report.
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -59,6 +59,8 @@
     uint32_t peersInFlight { 0 };
     /// Moving average of the share of short responses that this node saw; see ResponseQuality.
     double shortResponseShare { 0 };
+    /// Service time relative to the median server of its service; see ServiceTimes.
+    double relativeServiceTime { 1 };
 
     uint32_t inFlight() const { return ownInFlight + peersInFlight; }
     /// Whether new flows avoid this server because of a later one at its address.
--- a/Libraries/LibSteering/Request/ServerChoice.cpp
+++ b/Libraries/LibSteering/Request/ServerChoice.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-    /// Difference in requests in flight per slot by which a server in another failure domain must be better. Just under
-    /// 0.5, one of two slots: another domain is used as soon as the own one has no free slot left.
+    /// Costs are in service times of the median server of a service, the time that one request in flight per slot
+    /// takes. A server in another failure domain must be better by this. Just under 0.5, one of two slots: among equal
+    /// servers, another domain is used as soon as the own one has no free slot left.
     constexpr double otherDomainCost = 0.45;
     /// Servers whose load is not known here are used once those with a known load have no free slot.
     constexpr double unknownLoadCost = 1.0;
@@ -94,8 +95,9 @@
     const auto slots = static_cast<double>(std::max<uint32_t>(1, server.entry.slots));
     const bool isOwnDomain = server.domain == ownDomain_;
     const bool isKnown = !isLoadKnown_ || isLoadKnown_(server.entry.number, isOwnDomain);
-    return static_cast<double>(server.inFlight()) / slots + (isOwnDomain ? 0 : otherDomainCost)
-        + (isKnown ? 0 : unknownLoadCost);
+    const double load = static_cast<double>(server.inFlight()) / slots;
+    // The time to finish the requests in flight, in service times of a median server.
+    return load * server.relativeServiceTime + (isOwnDomain ? 0 : otherDomainCost) + (isKnown ? 0 : unknownLoadCost);
 }
 
 std::optional<Choice> ServerChoice::choose(Base::TimePoint now, const Requirements& requirements)
--- a/Libraries/LibSteering/Request/ServerChoice.h
+++ b/Libraries/LibSteering/Request/ServerChoice.h
@@ -27,8 +27,8 @@
     ChoiceTier tier { ChoiceTier::Sound };
 };
 
-/// Chooses the backend server of a new flow: the one with the fewest requests in flight per slot, preferring the own
-/// failure domain.
+/// Chooses the backend server of a new flow: the one expected to finish its requests in flight soonest, by their number
+/// per slot and its service time, preferring the own failure domain.
 class ServerChoice {
 public:
     struct Options {
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -39,6 +39,7 @@
     , shareChoice_({}, servers_, choice_)
     , flows_({ .maximumFlows = options.maximumFlows })
     , responseQuality_({}, servers_)
+    , serviceTimes_({}, servers_)
     , progress_(servers_, responseQuality_)
     , stalledFlows_(flows_, servers_)
 {
@@ -179,6 +180,7 @@
     const bool wasUnreachable = peer != peerLoads_.peers().end() && now - peer->second.lastReportAt > peerReportTimeout;
     if (!peerLoads_.accept(now, report))
         return false;
+    serviceTimes_.acceptReport(now, report.sender, report.speeds);
     const auto domain = servers_.domainIndex(peer->second.failureDomain);
     if (peer->second.failureDomain == options_.failureDomain || !choice_.isDomainUsable(domain))
         return true;
@@ -364,13 +366,30 @@
         reportDecision(FlowDecision::Kind::Opened, packet.flow, record, now, nullptr);
 }
 
+void SteeringDecider::recordServiceTime(
+    Base::TimePoint now, const Base::Ipv4Endpoint& service, const FlowRecord& record)
+{
+    if (!record.isServiceTimeSample)
+        return;
+    const auto stallTime = totalStallTime_ - record.stallTimeAtRequest;
+    serviceTimes_.recordResponse(now, service, record.server,
+        std::chrono::duration_cast<Base::microseconds>(now - record.requestDataSeenAt - stallTime));
+}
+
 void SteeringDecider::trackOpenFlow(Base::TimePoint now, FlowRecord& record, const PacketView& packet)
 {
     const auto progress = progress_.processPacket(now, record, packet);
-    if (progress.startsResponse)
+    if (progress.startsResponse) {
         stalledFlows_.recordResponse(now, totalStallTime_, record);
-    if (progress.startsRequest)
+        recordServiceTime(now, packet.flow.service, record);
+    }
+    if (progress.startsRequest) {
         stalledFlows_.recordRequest(now, totalStallTime_, packet.flow, record);
+        const auto index = servers_.find(record.server);
+        record.isServiceTimeSample = index && ServiceTimes::isSample(servers_.at(*index));
+    }
+    if (progress.hasRequestData)
+        record.requestDataSeenAt = now;
     const auto& shortResponse = progress.shortResponse;
     if (!shortResponse)
         return;
@@ -466,6 +485,7 @@
     flows_.runDueChecks(
         now, [&](const Packet::FlowKey& flow, FlowRecord& record) { return checkRecord(now, flow, record); });
     responseQuality_.expire(now);
+    serviceTimes_.update(now);
     servers_.expire(now);
     peerLoads_.expire(now);
     // At a start thousands of peers are listed at once; an update for each of them would take seconds.
@@ -515,6 +535,7 @@
         }
         decision.ownInFlight = server.ownInFlight;
         decision.peersInFlight = server.peersInFlight;
+        decision.relativeServiceTime = server.relativeServiceTime;
     }
     options_.onDecision(decision);
 }
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -15,6 +15,7 @@
 #include <LibSteering/Process/Readiness.h>
 #include <LibSteering/Process/ResponseQuality.h>
 #include <LibSteering/Process/ServerTable.h>
+#include <LibSteering/Process/ServiceTimes.h>
 #include <LibSteering/Process/WarmUpAllowance.h>
 #include <LibSteering/Request/HedgeQueue.h>
 #include <LibSteering/Request/ServerChoice.h>
@@ -101,6 +102,8 @@
     bool acceptReport(Base::TimePoint now, const LoadReport& report);
     /// Requests that this node has in flight, by server.
     std::vector<ServerLoad> ownLoads();
+    /// Servers that this node has measured to differ from their service.
+    const std::vector<ServerSpeed>& ownSpeeds() const { return serviceTimes_.ownSpeeds(); }
     const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers() const { return peerLoads_.peers(); }
     /// The peers to report to.
     const PeerTopology& topology() const { return topology_; }
@@ -138,6 +141,8 @@
     void completeHandshake(Base::TimePoint now, FlowRecord&, const PacketView&, const CompiledRoute&);
     /// Updates the state of an open or ended flow from a packet of its caller.
     void trackOpenFlow(Base::TimePoint now, FlowRecord&, const PacketView&);
+    /// The response to the flow's latest request has begun.
+    void recordServiceTime(Base::TimePoint now, const Base::Ipv4Endpoint& service, const FlowRecord&);
     /// Stops tracking the flow's request, whose caller gets a reset.
     void abandonRequest(FlowRecord&);
     std::optional<Choice> choose(Base::TimePoint now, const Packet::FlowKey&, const CompiledRoute&, const FlowRecord&);
@@ -165,6 +170,7 @@
     ShareChoice::ShareResult lastShare_;
     FlowTable flows_;
     ResponseQuality responseQuality_;
+    ServiceTimes serviceTimes_;
     FlowProgress progress_;
     StalledFlows stalledFlows_;
     Readiness readiness_;
--- a/Tests/LibSteering/TestLoadReport.cpp
+++ b/Tests/LibSteering/TestLoadReport.cpp
@@ -11,7 +11,7 @@
         .revision = 42,
         .loads = { { .number = { 0xFFFFFFFFFFFFFFFF }, .inFlight = 3 }, { .number = { 5 }, .inFlight = 1 } },
         .demands = { { .service = Steering::ServiceKey::of("rota"), .requests = 12 } },
-        .speeds = { { .number = { 5 }, .serviceTime = Base::microseconds(31'000) } },
+        .speeds = { { .number = { 5 }, .relativeThousandths = 1600 } },
         .possiblyRestarted = { { 6 }, { 7 } } };
     const auto bytes = Steering::encodeLoadReport(report);
     const auto read = Base::capture([&] { return Steering::decodeLoadReport(bytes); });
@@ -27,7 +27,7 @@
     CHECK(read.value->demands[0].requests == 12);
     REQUIRE(read.value->speeds.size() == 1);
     CHECK(read.value->speeds[0].number == Steering::BackendServerNumber { 5 });
-    CHECK(read.value->speeds[0].serviceTime == Base::microseconds(31'000));
+    CHECK(read.value->speeds[0].relativeThousandths == 1600);
     CHECK(read.value->possiblyRestarted == report.possiblyRestarted);
 }
 
@@ -56,7 +56,7 @@
         .revision = 1,
         .loads = { { .number = { 5 }, .inFlight = 1 } },
         .demands = { { .service = { 4 }, .requests = 2 } },
-        .speeds = { { .number = { 5 }, .serviceTime = Base::microseconds(20'000) } },
+        .speeds = { { .number = { 5 }, .relativeThousandths = 1600 } },
         .possiblyRestarted = { { 6 } } });
     for (int round = 0; round < 5000; ++round) {
         auto damaged = bytes;
