--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -85,6 +85,12 @@
             "First packets rejected for want of room, by the priority of their route (3: 3 and above).",
             { { "priority", std::to_string(index) } });
     }
+    for (std::size_t index = 0; index < shareDiversions_.size(); ++index) {
+        const auto diversion = static_cast<Steering::ShareDiversion>(index);
+        shareDiversions_[index] = &registry_.counter("eelgrasshatch_share_diversions_total",
+            "Backend servers chosen, by why they are of another service than the flow's share.",
+            { { "reason", std::string(toString(diversion)) } });
+    }
     for (std::size_t call = 0; call < storeCallCount; ++call) {
         for (std::size_t outcome = 0; outcome < Platform::storeOutcomeCount; ++outcome) {
             storeCalls_[call][outcome] = &registry_.counter("eelgrasshatch_store_calls_total", "Calls to the store.",
@@ -127,6 +133,8 @@
         raiseTo(*refused_[index], static_cast<double>(steering.refused[index]));
     for (std::size_t index = 0; index < chosen_.size(); ++index)
         raiseTo(*chosen_[index], static_cast<double>(steering.chosen[index]));
+    for (std::size_t index = 0; index < shareDiversions_.size(); ++index)
+        raiseTo(*shareDiversions_[index], static_cast<double>(steering.shareDiversions[index]));
     for (std::size_t call = 0; call < storeCallCount; ++call) {
         for (std::size_t outcome = 0; outcome < Platform::storeOutcomeCount; ++outcome) {
             const auto total = store.total(static_cast<StoreCall>(call), static_cast<Platform::StoreOutcome>(outcome));
--- a/Libraries/LibEntry/FlowLog.cpp
+++ b/Libraries/LibEntry/FlowLog.cpp
@@ -2,6 +2,7 @@
 
 #include <LibEntry/Events.h>
 #include <LibLog/Log.h>
+#include <cmath>
 
 namespace Entry {
 
@@ -57,7 +58,13 @@
             .add("tier", Steering::toString(decision.tier))
             .add("own_in_progress", decision.ownInFlight)
             .add("peers_in_progress", decision.peersInFlight)
+            .add("service_time_percent", std::lround(decision.relativeServiceTime * 100))
             .add("age_us", decision.age.count());
+        if (decision.diversion != Steering::ShareDiversion::None) {
+            fields.add("share_asked", decision.serviceAsked)
+                .add("share_given", decision.serviceGiven)
+                .add("diverted", Steering::toString(decision.diversion));
+        }
     }
     fields.add("version", decision.configurationVersion);
     Log::write(eventFor(decision.kind), fields);
--- a/Libraries/LibSteering/FlowDecision.h
+++ b/Libraries/LibSteering/FlowDecision.h
@@ -2,7 +2,7 @@
 
 #include <LibSteering/Events.h>
 #include <LibSteering/Process/Room.h>
-#include <LibSteering/Request/ServerChoice.h>
+#include <LibSteering/Request/ShareChoice.h>
 
 namespace Steering {
 
@@ -23,9 +23,14 @@
     uint32_t sequence { 0 };
     BackendServerNumber server;
     ChoiceTier tier { ChoiceTier::Sound };
+    /// Why the flow went to another service than its share's, and both services; the names are empty if it did not.
+    ShareDiversion diversion { ShareDiversion::None };
+    std::string serviceAsked;
+    std::string serviceGiven;
     Refusal refusal { Refusal::None };
     uint32_t ownInFlight { 0 };
     uint32_t peersInFlight { 0 };
+    double relativeServiceTime { 1 };
     uint64_t configurationVersion { 0 };
     /// Time since the flow's first packet.
     Base::microseconds age { 0 };
--- a/Libraries/LibSteering/Process/Room.h
+++ b/Libraries/LibSteering/Process/Room.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBase/Time.h>
+#include <algorithm>
 #include <cstdint>
 
 namespace Steering {
@@ -13,6 +14,11 @@
     /// one between caller and server, whose handshake and transfer take about as long as the handling. Servers are
     /// known to hold more; the rest absorbs what entry VMs with other lists of peers send.
     static constexpr uint32_t placesPerSlot = 3;
+    /// Whether a server with these slots has a place left beside its requests in flight.
+    static bool isPlaceFree(uint32_t slots, uint32_t inFlight)
+    {
+        return inFlight < std::max<uint32_t>(1, slots) * placesPerSlot;
+    }
 
     /// Totals of one service.
     struct Load {
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -81,6 +81,8 @@
     uint32_t ownBackOffs { 0 };
     /// Moving average of the share of short responses that this node saw; see ResponseQuality.
     double shortResponseShare { 0 };
+    /// Service time relative to the median server of its service; see ServiceTimes.
+    double relativeServiceTime { 1 };
 
     bool isCold(Base::TimePoint now) const
     {
--- a/Libraries/LibSteering/Request/FirstPacketAdmission.cpp
+++ b/Libraries/LibSteering/Request/FirstPacketAdmission.cpp
@@ -53,7 +53,7 @@
 {
     const bool isKnown
         = !options_.isLoadKnown || options_.isLoadKnown(server.entry.number, server.domain == ownDomain_);
-    return isKnown && !isSilent(server) && choice_.isUsable(server) && now >= server.coldUntil;
+    return isKnown && !isSilent(server) && choice_.isUsable(server) && !server.isCold(now);
 }
 
 uint32_t FirstPacketAdmission::waitingCountOf(ServiceIndex service) const
@@ -147,6 +147,11 @@
     return room != nullptr && room->isShort();
 }
 
+bool FirstPacketAdmission::hasRoom(Base::TimePoint now, const Server& server) const
+{
+    return isShort(server.service) ? hasPlace(now, server) : Room::isPlaceFree(server.entry.slots, server.inFlight());
+}
+
 bool FirstPacketAdmission::hasPlace(Base::TimePoint now, const Server& server) const
 {
     const auto found = rooms_.find(server.service);
@@ -154,7 +159,7 @@
         return false;
     const auto& state = found->second;
     // What a cold server gets is limited by its warm-up allowance instead.
-    if (now < server.coldUntil)
+    if (server.isCold(now))
         return true;
     if (now < server.suspectUntil)
         return false;
@@ -163,7 +168,7 @@
     // With fewer places than entry VMs, some own none: they may have one request in flight at a server that, as far as
     // is known, has room.
     if (state.ownPlaceCount == 0)
-        return state.ownInFlight == 0 && server.inFlight() < server.entry.slots * Room::placesPerSlot;
+        return state.ownInFlight == 0 && Room::isPlaceFree(server.entry.slots, server.inFlight());
     const auto own = state.ownPlaces.find(server.entry.number);
     if (own == state.ownPlaces.end())
         return false;
--- a/Libraries/LibSteering/Request/FirstPacketAdmission.h
+++ b/Libraries/LibSteering/Request/FirstPacketAdmission.h
@@ -55,6 +55,9 @@
     bool isShort(ServiceIndex) const;
     /// Whether the server may get a first packet: one of this entry VM's places there is free, or it is to be tried.
     bool hasPlace(Base::TimePoint now, const Server&) const;
+    /// Whether the server can hold a further request: as above while its service's room is short, else by what is in
+    /// flight there.
+    bool hasRoom(Base::TimePoint now, const Server&) const;
     /// Whether a first packet may take a place before those that wait.
     bool isNext(ServiceIndex, uint32_t priority) const;
     /// A first packet of this priority goes to the server; counts what less important ones are owed.
--- a/Libraries/LibSteering/Request/ServerChoice.h
+++ b/Libraries/LibSteering/Request/ServerChoice.h
@@ -27,8 +27,8 @@
     ChoiceTier tier { ChoiceTier::Sound };
 };
 
-/// Chooses the backend server of a new flow: the one with the fewest requests in flight per slot, preferring the own
-/// failure domain.
+/// Chooses the backend server of a new flow: the one expected to finish its requests in flight soonest, by their number
+/// per slot and its service time, preferring the own failure domain.
 class ServerChoice {
 public:
     struct Options {
@@ -56,6 +56,8 @@
     bool isDomainUsable(DomainIndex domain) const { return !evacuated_.contains(domain); }
     /// Whether new flows may go to the server at all.
     bool isUsable(const Server&) const;
+    /// Whether new flows may go to the server, it is warm and not suspect.
+    bool isSound(Base::TimePoint now, const Server&) const;
 
 private:
     double cost(const Server&) const;
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -33,9 +33,13 @@
                      .isLoadKnown = [this](BackendServerNumber number,
                                         bool isOwnDomain) { return topology_.isLoadKnown(number, isOwnDomain); } },
           servers_, choice_, peerLoads_)
+    , shareChoice_(
+          { .hasPlace = [this](Base::TimePoint now, const Server& server) { return admission_.hasRoom(now, server); } },
+          servers_, choice_)
     , flows_({ .maximumFlows = options.maximumFlows })
     , tokens_(servers_)
     , responseQuality_({}, servers_)
+    , serviceTimes_({}, servers_)
     , progress_(servers_, responseQuality_)
     , stalledFlows_(flows_, servers_)
     , restarts_({ .warmUpOf = [this](const Server& server) { return warmUpOf(server.entry.service); } }, servers_)
@@ -54,6 +58,7 @@
         return;
     configuration_ = event.configuration;
     routes_.replace(*configuration_, servers_);
+    shareChoice_.reset();
     std::vector<std::string> services;
     services.reserve(configuration_->services.size());
     for (const auto& profile : configuration_->services)
@@ -167,6 +172,7 @@
     if (!peerLoads_.accept(now, report))
         return false;
     restarts_.acceptReport(now, report.possiblyRestarted);
+    serviceTimes_.acceptReport(now, report.sender, report.speeds);
     const auto domain = servers_.domainIndex(peer->second.failureDomain);
     if (peer->second.failureDomain == options_.failureDomain || !choice_.isDomainUsable(domain))
         return true;
@@ -293,13 +299,30 @@
         reportDecision(FlowDecision::Kind::Opened, packet.flow, record, now, nullptr);
 }
 
+void SteeringDecider::recordServiceTime(
+    Base::TimePoint now, const Base::Ipv4Endpoint& service, const FlowRecord& record)
+{
+    if (!record.isServiceTimeSample)
+        return;
+    const auto stallTime = totalStallTime_ - record.stallTimeAtRequest;
+    serviceTimes_.recordResponse(now, service, record.server,
+        std::chrono::duration_cast<Base::microseconds>(now - record.requestDataSeenAt - stallTime));
+}
+
 void SteeringDecider::trackOpenFlow(Base::TimePoint now, FlowRecord& record, const PacketView& packet)
 {
     const auto progress = progress_.processPacket(now, record, packet);
-    if (progress.startsResponse)
+    if (progress.startsResponse) {
         stalledFlows_.recordResponse(now, totalStallTime_, record);
-    if (progress.startsRequest)
+        recordServiceTime(now, packet.flow.service, record);
+    }
+    if (progress.startsRequest) {
         stalledFlows_.recordRequest(now, totalStallTime_, packet.flow, record);
+        const auto index = servers_.find(record.server);
+        record.isServiceTimeSample = index && ServiceTimes::isSample(servers_.at(*index));
+    }
+    if (progress.hasRequestData)
+        record.requestDataSeenAt = now;
     const auto& shortResponse = progress.shortResponse;
     if (!shortResponse)
         return;
@@ -353,6 +376,7 @@
     flows_.runDueChecks(
         now, [&](const Packet::FlowKey& flow, FlowRecord& record) { return checkRecord(now, flow, record); });
     responseQuality_.expire(now);
+    serviceTimes_.update(now);
     servers_.expire(now);
     restarts_.expire(now);
     for (const auto index : restarts_.serversToProbe())
@@ -401,8 +425,14 @@
         const auto& server = servers_.at(choice->server);
         decision.server = server.entry.number;
         decision.tier = choice->tier;
+        if (lastShare_.diversion != ShareDiversion::None) {
+            decision.diversion = lastShare_.diversion;
+            decision.serviceAsked = servers_.serviceName(lastShare_.asked);
+            decision.serviceGiven = servers_.serviceName(lastShare_.given);
+        }
         decision.ownInFlight = server.ownInFlight;
         decision.peersInFlight = server.peersInFlight;
+        decision.relativeServiceTime = server.relativeServiceTime;
     }
     options_.onDecision(decision);
 }
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -17,10 +17,12 @@
 #include <LibSteering/Process/ResponseQuality.h>
 #include <LibSteering/Process/RestartSuspicion.h>
 #include <LibSteering/Process/ServerTable.h>
+#include <LibSteering/Process/ServiceTimes.h>
 #include <LibSteering/Process/WarmUpAllowance.h>
 #include <LibSteering/Request/FirstPacketAdmission.h>
 #include <LibSteering/Request/HedgeQueue.h>
 #include <LibSteering/Request/ServerChoice.h>
+#include <LibSteering/Request/ShareChoice.h>
 #include <LibSteering/Version/RouteTable.h>
 #include <array>
 #include <functional>
@@ -66,6 +68,8 @@
     std::array<uint64_t, noRoomPriorityCount> noRoomByPriority {};
     /// Hedged attempts not made, since the attempted server responded to others.
     uint64_t hedgesDenied { 0 };
+    /// Chosen servers, by why their service is not that of the flow's share; None if it is.
+    std::array<uint64_t, shareDiversionCount> shareDiversions {};
 };
 
 class SteeringDecider {
@@ -118,6 +122,8 @@
     /// The room that this node needs at services whose room is short.
     std::vector<ServiceDemand> ownDemands() const { return admission_.demands(); }
     const FirstPacketAdmission& admission() const { return admission_; }
+    /// Servers that this node has measured to differ from their service.
+    const std::vector<ServerSpeed>& ownSpeeds() const { return serviceTimes_.ownSpeeds(); }
     const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers() const { return peerLoads_.peers(); }
     /// The peers to report to.
     const PeerTopology& topology() const { return topology_; }
@@ -156,6 +162,8 @@
     void completeHandshake(Base::TimePoint now, FlowRecord&, const PacketView&, ServerIndex);
     /// Updates the state of an open or ended flow from a packet of its caller.
     void trackOpenFlow(Base::TimePoint now, FlowRecord&, const PacketView&);
+    /// The response to the flow's latest request has begun.
+    void recordServiceTime(Base::TimePoint now, const Base::Ipv4Endpoint& service, const FlowRecord&);
     /// Stops tracking the flow's request, whose caller gets a reset.
     void abandonRequest(FlowRecord&);
     /// needsPlace: a server with a place that is free is required, since room is short.
@@ -201,9 +209,13 @@
     FirstPacketAdmission admission_;
     /// Resets of first packets that waited in vain.
     std::vector<FlowReset> rejected_;
+    ShareChoice shareChoice_;
+    /// The share of the latest choice, for the log.
+    ShareChoice::ShareResult lastShare_;
     FlowTable flows_;
     TokenResolver tokens_;
     ResponseQuality responseQuality_;
+    ServiceTimes serviceTimes_;
     FlowProgress progress_;
     StalledFlows stalledFlows_;
     RestartSuspicion restarts_;
--- a/Libraries/LibSteering/SteeringDeciderFirstPackets.cpp
+++ b/Libraries/LibSteering/SteeringDeciderFirstPackets.cpp
@@ -36,21 +36,17 @@
 std::optional<Choice> SteeringDecider::choose(Base::TimePoint now, const Packet::FlowKey& flow,
     const CompiledRoute& route, const FlowRecord& record, bool needsPlace)
 {
-    const auto* share = route.shareFor(flow);
-    if (share == nullptr)
-        return std::nullopt;
+    const auto isForbidden = [&](const Server& server) { return !isInAllowedRegion(route, server); };
     const auto isExcluded = [&](const Server& server) {
-        if (record.wasAttemptedAt(server.entry.number))
-            return true;
-        if (needsPlace && !admission_.hasPlace(now, server))
-            return true;
-        return !isInAllowedRegion(route, server);
+        return record.wasAttemptedAt(server.entry.number) || (needsPlace && !admission_.hasRoom(now, server));
     };
-    return choice_.choose(now,
-        { .service = share->service,
-            .warmUpRequestsPerSecond = share->warmUpRequestsPerSecond,
-            .isExcluded = isExcluded,
-            .peers = &peerIds_ });
+    const auto result = shareChoice_.choose(
+        now, flow, route, { .isForbidden = isForbidden, .isExcluded = isExcluded, .peers = &peerIds_ });
+    if (!result)
+        return std::nullopt;
+    ++statistics_.shareDiversions[static_cast<std::size_t>(result->diversion)];
+    lastShare_ = *result;
+    return result->choice;
 }
 
 Verdict SteeringDecider::startAttempt(
