LibSteering: Send load reports without optional content in the earlier form

Cause: reports have nine fields since, the last three mostly empty. While entry VMs of both releases run side by side, the earlier ones reject every report of the later ones: they take them for silent, lack their loads, and watch the store in their place. Change: empty fields at the end are left out. A report with a suspected restart or an overdue answer is still rejected by earlier releases. Result: the new test failed before, TestLoadReport.cpp:56 { 153, 77, 9, 42, 1, 145, 5, 145, 3, 144, 144, 144 } == { 150, 77, 9, 42, 1, 145, 5, 145, 3 } and passes; TestLibSteering passes, 126 cases. Both releases side by side were not run.

--- a/Libraries/LibSteering/Process/LoadReport.cpp
+++ b/Libraries/LibSteering/Process/LoadReport.cpp
@@ -83,9 +83,13 @@
     auto restarts = Json::array();
     for (const auto number : report.possiblyRestarted)
         restarts.push_back(number.value);
-    return Peer::writeMsgpack(
-        Json::array({ report.sender.value, report.sequence, report.revision, static_cast<uint64_t>(report.store),
-            std::move(numbers), std::move(counts), std::move(demands), std::move(speeds), std::move(restarts) }));
+    auto fields
+        = Json::array({ report.sender.value, report.sequence, report.revision, static_cast<uint64_t>(report.store),
+            std::move(numbers), std::move(counts), std::move(demands), std::move(speeds), std::move(restarts) });
+    // Earlier releases reject reports with further fields, and would take this entry VM for silent.
+    while (fields.size() > minimumFieldCount && fields.back().empty())
+        fields.erase(fields.size() - 1);
+    return Peer::writeMsgpack(fields);
 }
 
 Base::ErrorOr<LoadReport> decodeLoadReport(std::span<const std::byte> bytes)
--- a/Tests/LibSteering/TestLoadReport.cpp
+++ b/Tests/LibSteering/TestLoadReport.cpp
@@ -44,6 +44,24 @@
     CHECK(read.value->possiblyRestarted.empty());
 }
 
+TEST_CASE("a load report without optional content has the form of an earlier release, which accepts no other")
+{
+    const Steering::LoadReport report { .sender = { 77 },
+        .sequence = 9,
+        .revision = 42,
+        .store = Steering::StoreView::Responding,
+        .loads = { { .number = { 5 }, .inFlight = 3 } } };
+    const auto earlier = Peer::writeMsgpack(
+        nlohmann::json::array({ 77U, 9U, 42U, 1U, nlohmann::json::array({ 5U }), nlohmann::json::array({ 3U }) }));
+    CHECK(Steering::encodeLoadReport(report) == earlier);
+    auto withDemand = report;
+    withDemand.demands = { { .service = { 4 }, .requests = 2 } };
+    auto withRestart = report;
+    withRestart.possiblyRestarted = { { 6 } };
+    CHECK(Steering::decodeLoadReport(Steering::encodeLoadReport(withDemand)).value().demands.size() == 1);
+    CHECK(Steering::decodeLoadReport(Steering::encodeLoadReport(withRestart)).value().possiblyRestarted.size() == 1);
+}
+
 TEST_CASE("a load report with an unknown view of the store is malformed")
 {
     const auto bytes = Peer::writeMsgpack(nlohmann::json::array({ 77U, 9U, 42U, 4U, { 5U }, { 3U } }));
