LibSteering: Forget peers without reports as sources of records

Cause: a peer that left, or whose revision nobody else has, stayed a candidate of RelayChoice until the own revision passed its revision. Change: a candidate without a report for 10 s is removed. Running peers report every 400 ms at the latest.

--- a/Libraries/LibSteering/Process/RelayChoice.cpp
+++ b/Libraries/LibSteering/Process/RelayChoice.cpp
@@ -16,11 +16,16 @@
     /// Peers to which a fetch failed within this time are asked after all others.
     constexpr Base::milliseconds failureLifetime { 10'000 };
 
+    /// Peers report several times a second; one without reports for this long has left or cannot be reached.
+    constexpr Base::milliseconds candidateLifetime { 10'000 };
+
 }
 
 void RelayChoice::discardOld(Base::TimePoint now, uint64_t ownRevision)
 {
-    std::erase_if(candidates_, [&](const auto& entry) { return entry.second.revision <= ownRevision; });
+    std::erase_if(candidates_, [&](const auto& entry) {
+        return entry.second.revision <= ownRevision || now - entry.second.reportedAt > candidateLifetime;
+    });
     std::erase_if(failures_, [&](const auto& entry) { return now - entry.second.at > failureLifetime; });
     for (auto& [peer, candidate] : candidates_) {
         if (candidate.lackedRevision > ownRevision)
@@ -42,6 +47,7 @@
     const bool isMoreUrgent = isUrgent && !candidate.isUrgent;
     candidate.revision = std::max(candidate.revision, revision);
     candidate.isUrgent = isUrgent;
+    candidate.reportedAt = now;
     return isNew || isMoreUrgent;
 }
 
--- a/Libraries/LibSteering/Process/RelayChoice.h
+++ b/Libraries/LibSteering/Process/RelayChoice.h
@@ -44,6 +44,7 @@
         /// The revision that was newer than the own one since the given time.
         uint64_t lackedRevision { 0 };
         Base::TimePoint lackedSince {};
+        Base::TimePoint reportedAt {};
     };
     struct Failure {
         uint32_t count { 0 };
--- a/Tests/LibSteering/TestRelayChoice.cpp
+++ b/Tests/LibSteering/TestRelayChoice.cpp
@@ -93,3 +93,32 @@
     }
     CHECK(asked.size() == 3);
 }
+
+TEST_CASE("a peer that no longer reports is forgotten, though nobody else has its records")
+{
+    RelayChoice choice({ .seed = 1 });
+    auto now = start;
+    choice.handleReport(now, first, own + 1, true, own);
+    // Each fetch fails, as from a peer that has left.
+    for (int fetch = 0; fetch < 100; ++fetch) {
+        const auto next = choice.next(now, own);
+        if (!next)
+            break;
+        now = std::max(now, next->dueAt) + Times::relayStepTimeout;
+        choice.handleFailure(now, first);
+    }
+    CHECK_FALSE(choice.next(now, own));
+    CHECK(now - start < milliseconds(30'000));
+    // Once it reports again, it is asked again.
+    CHECK(choice.handleReport(now, first, own + 1, true, own));
+    CHECK(choice.next(now, own));
+}
+
+TEST_CASE("a peer that goes on reporting stays a candidate")
+{
+    RelayChoice choice({ .seed = 1 });
+    for (auto now = start; now < start + milliseconds(60'000); now += milliseconds(400)) {
+        choice.handleReport(now, first, own + 1, true, own);
+        CHECK(choice.next(now, own));
+    }
+}
