LibSteering: Use a server again that was only cut off beside a wrong entry

Cause: a second without a response marks a server as ended while a later entry stands at its address. The mark stayed once that entry was gone: a live server that was cut off for a second got no new flows, and each packet of its flows a reset, until its process started again. Change: if nothing but silence has shown the end, the mark goes with the later entry, provided that the server's own entry is still there. The end that a handshake of the later server has shown stays.

--- a/Libraries/LibSteering/Connection/StalledFlows.cpp
+++ b/Libraries/LibSteering/Connection/StalledFlows.cpp
@@ -103,6 +103,7 @@
                 checks_.push({ check.flow, check.requestSeenAt, now + stallThreshold() });
                 continue;
             }
+            server.isEndShownBySilence |= !server.hasEnded;
             server.hasEnded = true;
             resets_.push_back({ .flow = check.flow, .acknowledged = record->acknowledgedAtRequest });
             continue;
--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -110,6 +110,12 @@
             serversAtAddress, [&](ServerIndex other) { return supersedes(servers_[other], server); });
         if (server.isSuperseded && !wasSuperseded)
             server.supersededAt = now;
+        // A server that was only cut off keeps its entry, while that of one that has ended goes.
+        const bool isReleased = wasSuperseded && !server.isSuperseded && server.presence == Presence::Listed;
+        if (isReleased && server.isEndShownBySilence) {
+            server.hasEnded = false;
+            server.isEndShownBySilence = false;
+        }
     }
 }
 
@@ -135,8 +141,13 @@
     const auto& serversAtAddress = byAddress_[later.entry.address];
     if (serversAtAddress.size() == 1)
         return;
-    for (const auto other : serversAtAddress)
-        servers_[other].hasEnded |= servers_[other].isSuperseded && supersedes(later, servers_[other]);
+    for (const auto other : serversAtAddress) {
+        auto& earlier = servers_[other];
+        if (!earlier.isSuperseded || !supersedes(later, earlier))
+            continue;
+        earlier.hasEnded = true;
+        earlier.isEndShownBySilence = false;
+    }
 }
 
 void ServerTable::updateShadows(FlowToken token)
@@ -179,6 +190,7 @@
         server.unreachableAt = {};
         server.isSuperseded = false;
         server.hasEnded = false;
+        server.isEndShownBySilence = false;
         server.shortResponseShare = 0;
     }
     byNumber_[entry.number] = targetIndex;
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -57,8 +57,10 @@
     /// made that entry by mistake, so that it alone does not show that this server has ended.
     bool isSuperseded { false };
     Base::TimePoint supersededAt {};
-    /// This server is superseded, and packets have shown that it has ended.
+    /// This server was superseded, and packets have shown that it has ended.
     bool hasEnded { false };
+    /// Nothing but silence has shown so, which a cut causes as well.
+    bool isEndShownBySilence { false };
     /// When an Unconfirmed server becomes Retired, or a Retired one is erased.
     Base::TimePoint presenceEndsAt {};
     Base::TimePoint coldUntil {};
--- a/Tests/LibSteering/TestStalledFlows.cpp
+++ b/Tests/LibSteering/TestStalledFlows.cpp
@@ -272,6 +272,37 @@
     openFlowAt(1);
 }
 
+TEST_CASE_METHOD(
+    StalledFlowsFixture, "a server that was cut off is used again once the later entry at its address is gone")
+{
+    openFlowAt(1);
+    const auto caller = lastPort_;
+    listOtherAtAddressOf(1, "rota");
+    REQUIRE(sendData(caller, token(1), 1001, 501).kind == VerdictKind::Forward);
+    for (int round = 0; round < 12; ++round)
+        advance(milliseconds(100));
+    REQUIRE(resets_.size() == 1);
+    SECTION("its own entry is still there")
+    {
+        decider_.handle(now_, Steering::ServerUnlisted { .number = number(9) });
+        openFlowAt(1);
+        CHECK(sendData(500, token(1), 2001, 701).kind == VerdictKind::Forward);
+    }
+    SECTION("its own entry went first")
+    {
+        decider_.handle(now_, Steering::ServerUnlisted { .number = number(1) });
+        decider_.handle(now_, Steering::ServerUnlisted { .number = number(9) });
+        CHECK(sendData(500, token(1), 2001, 701).kind == VerdictKind::Reset);
+    }
+    SECTION("the later server has completed a handshake")
+    {
+        for (uint16_t port = 700; openFlow(port).number != number(9); ++port)
+            REQUIRE(port < 1700);
+        decider_.handle(now_, Steering::ServerUnlisted { .number = number(9) });
+        CHECK(sendData(500, token(1), 2001, 701).kind == VerdictKind::Reset);
+    }
+}
+
 TEST_CASE_METHOD(StalledFlowsFixture, "an update of a wrong entry does not hide a live server again")
 {
     openFlowAt(1);
