TestLibSteering: Check again that all entry VMs write the same tentative token

Change: the check is back before the branch, and also demands different tokens for different servers.

--- a/Tests/LibSteering/TestFlowTokens.cpp
+++ b/Tests/LibSteering/TestFlowTokens.cpp
@@ -117,6 +117,7 @@
         two.advance(Base::milliseconds(200));
         const auto copy = two.sendFirst(port, 443, 1000, 1);
         REQUIRE(copy.kind == VerdictKind::Forward);
+        CHECK((copy.token == first.token) == (copy.number == first.number));
         const bool isSameServer = copy.number == first.number
             || (!one.hedgedAttempts().empty() && copy.token == one.hedgedAttempts().back().verdict.token);
         if (isSameServer) {
