LibSteering: Divide no places while many servers of a service are silent

Cause: when five of six servers had ended, their entries stayed for some seconds.

Change: a moving average of the attempts without a handshake. Above one in five, room is unknown, and first packets are placed as without admission.

Result: the new test failed before, 25 times 'CHECK( sendFirst(port).kind == VerdictKind::Forward ) with expansion: 1 == 0'. TestLibSteering passes, 169 cases.

--- a/Libraries/LibSteering/Request/FirstPacketAdmission.cpp
+++ b/Libraries/LibSteering/Request/FirstPacketAdmission.cpp
@@ -32,6 +32,10 @@
     /// Silent servers look idle. While room is short, they are tried one at a time, so that few callers wait for them
     /// and their silence doesn't make the failure domain suspect.
     constexpr Base::milliseconds silentServerInterval { 500 };
+    /// Lossy links lose one packet in twenty; above this share, servers are gone.
+    constexpr double maximumSilentShare = 0.2;
+    /// Weight of a new outcome: the first attempts of a fraction of a second count.
+    constexpr double outcomeSmoothing = 0.0625;
     /// Hedged attempts, per thousand first attempts, at servers that respond to others.
     constexpr uint32_t hedgePermille = 100;
 
@@ -130,9 +134,20 @@
     state.dividedAt = now;
 }
 
+bool FirstPacketAdmission::isRoomUnknown(const ServiceRoom& state) { return state.silentShare > maximumSilentShare; }
+
+void FirstPacketAdmission::recordOutcome(ServiceIndex service, bool isAnswered)
+{
+    auto& share = rooms_[service].silentShare;
+    share += ((isAnswered ? 0.0 : 1.0) - share) * outcomeSmoothing;
+}
+
 bool FirstPacketAdmission::isRequired(Base::TimePoint now, const TrafficClass& traffic, ServiceIndex service)
 {
-    return traffic.latencyObjective > Base::milliseconds(0) && updated(now, service).room.isShort();
+    if (traffic.latencyObjective <= Base::milliseconds(0))
+        return false;
+    const auto& state = updated(now, service);
+    return state.room.isShort() && !isRoomUnknown(state);
 }
 
 const Room* FirstPacketAdmission::roomOf(ServiceIndex service) const
@@ -143,8 +158,8 @@
 
 bool FirstPacketAdmission::isShort(ServiceIndex service) const
 {
-    const auto* room = roomOf(service);
-    return room != nullptr && room->isShort();
+    const auto found = rooms_.find(service);
+    return found != rooms_.end() && found->second.room.isShort() && !isRoomUnknown(found->second);
 }
 
 bool FirstPacketAdmission::hasRoom(Base::TimePoint now, const Server& server) const
--- a/Libraries/LibSteering/Request/FirstPacketAdmission.h
+++ b/Libraries/LibSteering/Request/FirstPacketAdmission.h
@@ -77,6 +77,9 @@
     Base::TimePoint nextDeadline() const { return queue_.nextDeadline(); }
     std::size_t waitingCount() const { return queue_.size(); }
 
+    /// An attempt at a server of the service was answered by a handshake, or timed out.
+    void recordOutcome(ServiceIndex, bool isAnswered);
+
     /// Counts a first attempt, which earns a part of a hedged one.
     void recordFirstAttempt(ServiceIndex);
     /// Whether a hedged attempt may be made although the attempted server responds to others.
@@ -103,6 +106,8 @@
         Base::TimePoint dividedAt {};
         /// When a silent server was last tried.
         Base::TimePoint silentTriedAt {};
+        /// Moving average of the share of attempts that timed out.
+        double silentShare { 0 };
         /// Admissions of more important first packets since a less important one that waits was admitted.
         uint32_t admittedAhead { 0 };
     };
@@ -110,6 +115,9 @@
     ServiceRoom& updated(Base::TimePoint now, ServiceIndex);
     void divide(Base::TimePoint now, ServiceIndex, ServiceRoom&);
     uint32_t waitingCountOf(ServiceIndex) const;
+    /// Whether so many servers are silent that those which have room are not known. Places at them would keep callers
+    /// waiting; entries of servers that have ended disappear within seconds.
+    static bool isRoomUnknown(const ServiceRoom&);
     bool isCounted(Base::TimePoint now, const Server&) const;
 
     Options options_;
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -285,6 +285,7 @@
     server.unreachableAt = {};
     servers_.confirmEndOfEarlierServers(index);
     reachability_.recordResponse(server.domain);
+    admission_.recordOutcome(server.service, true);
     readiness_.recordResponse();
     ++statistics_.opened;
     const auto sample = std::chrono::duration_cast<Base::microseconds>(now - record.firstSeen
--- a/Libraries/LibSteering/SteeringDeciderFirstPackets.cpp
+++ b/Libraries/LibSteering/SteeringDeciderFirstPackets.cpp
@@ -276,6 +276,7 @@
     if (admission_.isShort(server.service) && isServerResponding(record))
         return;
     ++statistics_.attemptTimeouts;
+    admission_.recordOutcome(server.service, false);
     ++server.consecutiveTimeouts;
     stalledFlows_.recordAttemptTimeout(now, server);
     reachability_.recordTimeout(now, server.domain);
--- a/Tests/LibSteering/TestAdmission.cpp
+++ b/Tests/LibSteering/TestAdmission.cpp
@@ -138,3 +138,19 @@
     CHECK(decider_.statistics().hedgedAttempts <= 5);
     CHECK(decider_.statistics().hedgesDenied >= 5);
 }
+
+TEST_CASE_METHOD(ShortageFixture, "no first packet waits for a place once most servers are known to be silent")
+{
+    for (uint64_t server = 2; server <= 5; ++server)
+        listServer(server);
+    // Server 1 has its places taken, and the others have just ended: it takes some attempts to see that.
+    uint16_t port = 100;
+    for (; port < 115; ++port) {
+        sendFirst(port);
+        advance(milliseconds(30));
+    }
+    for (; port < 140; ++port) {
+        CHECK(sendFirst(port).kind == VerdictKind::Forward);
+        advance(milliseconds(30));
+    }
+}
