--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -412,7 +412,7 @@
 }
 
 void SteeringDecider::reportDecision(FlowDecision::Kind kind, const Packet::FlowKey& flow, const FlowRecord& record,
-    Base::TimePoint now, const Choice* choice)
+    Base::TimePoint now, const ShareChoice::ShareResult* result)
 {
     if (!options_.onDecision)
         return;
@@ -422,14 +422,14 @@
         .server = record.server,
         .configurationVersion = configurationVersion(),
         .age = std::chrono::duration_cast<Base::microseconds>(now - record.firstSeen) };
-    if (choice != nullptr) {
-        const auto& server = servers_.at(choice->server);
+    if (result != nullptr) {
+        const auto& server = servers_.at(result->choice.server);
         decision.server = server.entry.number;
-        decision.tier = choice->tier;
-        if (lastShare_.diversion != ShareDiversion::None) {
-            decision.diversion = lastShare_.diversion;
-            decision.serviceAsked = servers_.serviceName(lastShare_.asked);
-            decision.serviceGiven = servers_.serviceName(lastShare_.given);
+        decision.tier = result->choice.tier;
+        if (result->diversion != ShareDiversion::None) {
+            decision.diversion = result->diversion;
+            decision.serviceAsked = servers_.serviceName(result->asked);
+            decision.serviceGiven = servers_.serviceName(result->given);
         }
         decision.ownInFlight = server.ownInFlight;
         decision.peersInFlight = server.peersInFlight;
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -167,7 +167,7 @@
     /// Stops tracking the flow's request, whose caller gets a reset.
     void abandonRequest(FlowRecord&);
     /// needsPlace: a server with a place that is free is required, since room is short.
-    std::optional<Choice> choose(
+    std::optional<ShareChoice::ShareResult> choose(
         Base::TimePoint now, const Packet::FlowKey&, const CompiledRoute&, const FlowRecord&, bool needsPlace);
     bool isInAllowedRegion(const CompiledRoute&, const Server&) const;
     /// Whether new flows of the route may go to any of the service's servers.
@@ -193,8 +193,8 @@
     void recordAttemptTimeout(Base::TimePoint now, const FlowRecord&);
     std::optional<HedgedAttempt> hedge(Base::TimePoint now, const HedgeQueue::Pending&);
     bool checkRecord(Base::TimePoint now, const Packet::FlowKey&, FlowRecord&);
-    void reportDecision(
-        FlowDecision::Kind, const Packet::FlowKey&, const FlowRecord&, Base::TimePoint now, const Choice*);
+    void reportDecision(FlowDecision::Kind, const Packet::FlowKey&, const FlowRecord&, Base::TimePoint now,
+        const ShareChoice::ShareResult*);
 
     Options options_;
     ServerTable servers_;
@@ -210,8 +210,6 @@
     /// Resets of first packets that waited in vain.
     std::vector<FlowReset> rejected_;
     ShareChoice shareChoice_;
-    /// The share of the latest choice, for the log.
-    ShareChoice::ShareResult lastShare_;
     FlowTable flows_;
     TokenResolver tokens_;
     ResponseQuality responseQuality_;
--- a/Libraries/LibSteering/SteeringDeciderFirstPackets.cpp
+++ b/Libraries/LibSteering/SteeringDeciderFirstPackets.cpp
@@ -33,7 +33,7 @@
     });
 }
 
-std::optional<Choice> SteeringDecider::choose(Base::TimePoint now, const Packet::FlowKey& flow,
+std::optional<ShareChoice::ShareResult> SteeringDecider::choose(Base::TimePoint now, const Packet::FlowKey& flow,
     const CompiledRoute& route, const FlowRecord& record, bool needsPlace)
 {
     const auto isForbidden = [&](const Server& server) { return !isInAllowedRegion(route, server); };
@@ -42,11 +42,9 @@
     };
     const auto result = shareChoice_.choose(
         now, flow, route, { .isForbidden = isForbidden, .isExcluded = isExcluded, .peers = &peerIds_ });
-    if (!result)
-        return std::nullopt;
-    ++statistics_.shareDiversions[static_cast<std::size_t>(result->diversion)];
-    lastShare_ = *result;
-    return result->choice;
+    if (result)
+        ++statistics_.shareDiversions[static_cast<std::size_t>(result->diversion)];
+    return result;
 }
 
 Verdict SteeringDecider::startAttempt(
@@ -117,18 +115,18 @@
     admission_.recordFirstAttempt(share->service);
     const bool needsPlace = admission_.isRequired(now, route.traffic, share->service);
     const bool mayStart = !needsPlace || admission_.isNext(share->service, route.traffic.priority);
-    const auto choice = mayStart ? choose(now, packet.flow, route, record, needsPlace) : std::nullopt;
-    if (!choice) {
+    const auto result = mayStart ? choose(now, packet.flow, route, record, needsPlace) : std::nullopt;
+    if (!result) {
         return needsPlace && hasUsableServer(route, share->service)
             ? waitForRoom(now, packet, route.traffic, share->service, bytes)
             : refuse(packet, Refusal::NoServer, VerdictKind::Reset);
     }
     if (needsPlace) {
         ++statistics_.admittedWhileShort;
-        admission_.recordAdmitted(now, servers_.at(choice->server), route.traffic.priority);
+        admission_.recordAdmitted(now, servers_.at(result->choice.server), route.traffic.priority);
     }
-    const auto verdict = startAttempt(now, packet.flow, record, *choice);
-    reportDecision(FlowDecision::Kind::Placed, packet.flow, record, now, &*choice);
+    const auto verdict = startAttempt(now, packet.flow, record, result->choice);
+    reportDecision(FlowDecision::Kind::Placed, packet.flow, record, now, &*result);
     return verdict;
 }
 
@@ -144,8 +142,8 @@
     // While room is short, a server that responds to others is full, not dead: another one would be full, too.
     const bool mayTryAnother
         = record.attemptCount < maximumConnectionAttempts && !(needsPlace && isServerResponding(record));
-    const auto choice = mayTryAnother ? choose(now, packet.flow, route, record, needsPlace) : std::nullopt;
-    if (!choice) {
+    const auto result = mayTryAnother ? choose(now, packet.flow, route, record, needsPlace) : std::nullopt;
+    if (!result) {
         // No further server can be tried; the last one may still respond.
         const auto last
             = record.attemptCount > 0 ? servers_.find(record.attemptedServers[record.attemptCount - 1]) : std::nullopt;
@@ -155,8 +153,8 @@
         flows_.erase(packet.flow);
         return refuse(packet, Refusal::NoServer, VerdictKind::Reset);
     }
-    const auto verdict = startAttempt(now, packet.flow, record, *choice);
-    reportDecision(FlowDecision::Kind::Retransmitted, packet.flow, record, now, &*choice);
+    const auto verdict = startAttempt(now, packet.flow, record, result->choice);
+    reportDecision(FlowDecision::Kind::Retransmitted, packet.flow, record, now, &*result);
     hedges_.add(now, totalStallTime_, packet, bytes);
     return verdict;
 }
@@ -241,14 +239,14 @@
         return true;
     }
     const bool needsPlace = admission_.isRequired(now, route->traffic, share->service);
-    const auto choice = choose(now, waiting.key, *route, *record, needsPlace);
-    if (!choice)
+    const auto result = choose(now, waiting.key, *route, *record, needsPlace);
+    if (!result)
         return false;
     admission_.cancel(waiting.key);
     ++statistics_.admittedWhileShort;
-    admission_.recordAdmitted(now, servers_.at(choice->server), waiting.priority);
-    const auto verdict = startAttempt(now, waiting.key, *record, *choice);
-    reportDecision(FlowDecision::Kind::Placed, waiting.key, *record, now, &*choice);
+    admission_.recordAdmitted(now, servers_.at(result->choice.server), waiting.priority);
+    const auto verdict = startAttempt(now, waiting.key, *record, result->choice);
+    reportDecision(FlowDecision::Kind::Placed, waiting.key, *record, now, &*result);
     hedges_.add(now, totalStallTime_, { .flow = waiting.key, .sequence = waiting.sequence }, waiting.bytes);
     dueAttempts.push_back({ .bytes = waiting.bytes, .verdict = verdict });
     return true;
@@ -307,8 +305,8 @@
         return std::nullopt;
     }
     const bool needsPlace = admission_.isRequired(now, route->traffic, share->service);
-    const auto choice = choose(now, pending.flow, *route, *record, needsPlace);
-    if (!choice && needsPlace) {
+    const auto result = choose(now, pending.flow, *route, *record, needsPlace);
+    if (!result && needsPlace) {
         // The attempted server is silent; the flow gets the next place that becomes free.
         const auto displaced = admission_.wait(
             now, { .flow = pending.flow, .sequence = pending.sequence }, route->traffic, share->service, pending.bytes);
@@ -316,11 +314,11 @@
             rejectWaiting(now, *displaced);
     }
     // A hedged attempt is made only at a sound server; otherwise the caller's own retransmission is soon enough.
-    if (!choice || choice->tier != ChoiceTier::Sound)
+    if (!result || result->choice.tier != ChoiceTier::Sound)
         return std::nullopt;
     ++statistics_.hedgedAttempts;
-    const auto verdict = startAttempt(now, pending.flow, *record, *choice);
-    reportDecision(FlowDecision::Kind::Hedged, pending.flow, *record, now, &*choice);
+    const auto verdict = startAttempt(now, pending.flow, *record, result->choice);
+    reportDecision(FlowDecision::Kind::Hedged, pending.flow, *record, now, &*result);
     return HedgedAttempt { .bytes = pending.bytes, .verdict = verdict };
 }
 
