--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -429,7 +429,7 @@
         .store = view,
         .loads = decider_.ownLoads(),
         .demands = decider_.ownDemands(),
-        .speeds = decider_.ownSpeeds(),
+        .speeds = decider_.takeReportedSpeeds(),
         .possiblyRestarted = decider_.possiblyRestarted(now) });
     reportedRevision_ = feed_.revision();
     reportedView_ = view;
--- a/Libraries/LibSteering/Process/ServiceTimes.cpp
+++ b/Libraries/LibSteering/Process/ServiceTimes.cpp
@@ -33,6 +33,10 @@
     /// A server that fails requests quickly looks fast. Beyond this share of short responses it does not count as such.
     constexpr double maximumShortShareOfFastServers = 0.05;
 
+    /// An entry VM sends up to 100 load reports a second: 12 bytes for each of these take 10 of the 25 kB/s for
+    /// control.
+    constexpr std::size_t speedsPerReport = 8;
+
     constexpr double thousandths = 1000;
 
 }
@@ -178,4 +182,12 @@
         usual_, [&](const auto& entry) { return now - entry.second.lastSampleAt > idleTimeout; });
 }
 
+std::vector<ServerSpeed> ServiceTimes::takeReportedSpeeds()
+{
+    std::vector<ServerSpeed> reported;
+    for (std::size_t count = 0; count < std::min(speedsPerReport, ownSpeeds_.size()); ++count)
+        reported.push_back(ownSpeeds_[reportedSpeeds_++ % ownSpeeds_.size()]);
+    return reported;
+}
+
 }
--- a/Libraries/LibSteering/Process/ServiceTimes.h
+++ b/Libraries/LibSteering/Process/ServiceTimes.h
@@ -40,6 +40,8 @@
     void update(Base::TimePoint now);
     /// The own estimates that clearly differ, for load reports; the most different ones if there are too many.
     const std::vector<ServerSpeed>& ownSpeeds() const { return ownSpeeds_; }
+    /// The next few of them in turn, for one load report.
+    std::vector<ServerSpeed> takeReportedSpeeds();
 
 private:
     struct UsualTime {
@@ -75,6 +77,8 @@
     boost::unordered_flat_map<Base::Ipv4Endpoint, UsualTime, std::hash<Base::Ipv4Endpoint>> usual_;
     boost::unordered_flat_map<BackendServerNumber, Estimate, std::hash<BackendServerNumber>> estimates_;
     std::vector<ServerSpeed> ownSpeeds_;
+    /// Number of speeds that were reported, over all reports.
+    std::size_t reportedSpeeds_ { 0 };
     Base::TimePoint nextUpdate_ {};
 };
 
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -122,8 +122,8 @@
     /// The room that this node needs at services whose room is short.
     std::vector<ServiceDemand> ownDemands() const { return admission_.demands(); }
     const FirstPacketAdmission& admission() const { return admission_; }
-    /// Servers that this node has measured to differ from their service.
-    const std::vector<ServerSpeed>& ownSpeeds() const { return serviceTimes_.ownSpeeds(); }
+    /// Servers that this node has measured to differ from their service, a few in turn for each report.
+    std::vector<ServerSpeed> takeReportedSpeeds() { return serviceTimes_.takeReportedSpeeds(); }
     const std::unordered_map<Base::EntryVmId, PeerLoads::Peer>& peers() const { return peerLoads_.peers(); }
     /// The peers to report to.
     const PeerTopology& topology() const { return topology_; }
--- a/Tests/LibSteering/TestServiceTimes.cpp
+++ b/Tests/LibSteering/TestServiceTimes.cpp
@@ -2,6 +2,7 @@
 
 #include <LibSteering/Process/ServiceTimes.h>
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace {
 
@@ -152,6 +153,28 @@
     CHECK(relativeTime(4) == 1);
 }
 
+TEST_CASE_METHOD(
+    ServiceTimesFixture, "a load report names eight of the servers that differ, and the next one the others")
+{
+    for (uint64_t value = 10; value <= 40; ++value)
+        list(value);
+    for (int round = 0; round < 100; ++round) {
+        now_ += milliseconds(50);
+        for (uint64_t value = 1; value <= 40; ++value)
+            times_.recordResponse(now_, service(443), { value }, microseconds(value <= 12 ? 120'000 : 40'000));
+        times_.update(now_);
+    }
+    REQUIRE(times_.ownSpeeds().size() == 12);
+    std::set<BackendServerNumber> reported;
+    for (int report = 0; report < 2; ++report) {
+        const auto speeds = times_.takeReportedSpeeds();
+        CHECK(speeds.size() == 8);
+        for (const auto& speed : speeds)
+            reported.insert(speed.number);
+    }
+    CHECK(reported.size() == 12);
+}
+
 TEST_CASE_METHOD(ServiceTimesFixture, "a server that fails requests quickly does not count as fast")
 {
     respond(200, 1);
@@ -172,13 +195,14 @@
 TEST_CASE_METHOD(SlowServerFixture, "an entry VM measures the responses it sees, and reports a slow server")
 {
     run(400, 0);
-    REQUIRE(decider_.ownSpeeds().size() == 1);
-    CHECK(decider_.ownSpeeds()[0].number == number(1));
-    CHECK(decider_.ownSpeeds()[0].relativeThousandths > 2000);
+    const auto reported = decider_.takeReportedSpeeds();
+    REQUIRE(reported.size() == 1);
+    CHECK(reported[0].number == number(1));
+    CHECK(reported[0].relativeThousandths > 2000);
 }
 
 TEST_CASE_METHOD(SlowServerFixture, "requests that may have waited for a slot do not count as slow")
 {
     run(400, 2);
-    CHECK(decider_.ownSpeeds().empty());
+    CHECK(decider_.takeReportedSpeeds().empty());
 }
