LibEntry, platform: Log ignored batches and the store's era

Cause: the log showed neither which batches of records were not applied nor that the store's answers came from another era, so that the hypotheses of the incident could not be told apart. Change: events batch_ignored and store_era_changed, the era in store_history_gone, figures for both. No decision changes; the era is decoded from the Store-Era header and carried in the batch.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -52,6 +52,8 @@
           "Load reports of strangers, malformed or overtaken by a newer one."))
     , recordsRefused_(
           registry_.counter("eelgrasshatch_records_refused_total", "Records of the store that could not be read."))
+    , batchesIgnored_(registry_.counter("eelgrasshatch_batches_ignored_total",
+          "Batches of records that were not applied, as they end before the known revision or start after it."))
     , logLinesDropped_(registry_.counter(
           "eelgrasshatch_log_lines_dropped_total", "Log lines left out because of an event's limit or a full queue."))
     , reportsReceived_(registry_.counter("eelgrasshatch_load_reports_received_total", "Load reports of peers."))
@@ -64,6 +66,8 @@
     , servers_(registry_.gauge("eelgrasshatch_backend_servers", "Backend servers known, departed ones included."))
     , peers_(registry_.gauge("eelgrasshatch_peers", "Other entry VMs known."))
     , revision_(registry_.gauge("eelgrasshatch_store_revision", "Revision of the store that is held."))
+    , storeEra_(registry_.gauge(
+          "eelgrasshatch_store_era", "Era of the store's last answer; rises when the store comes back from a copy."))
     , storeReachable_(registry_.gauge("eelgrasshatch_store_reachable", "1 while the store answers."))
     , ready_(registry_.gauge("eelgrasshatch_ready", "1 while callers may be sent here."))
     , configurationVersion_(
@@ -129,6 +133,7 @@
     raiseTo(reportsSent_, static_cast<double>(statistics.reportsSent));
     raiseTo(reportsIgnored_, static_cast<double>(statistics.reportsIgnored));
     raiseTo(recordsRefused_, static_cast<double>(feed.refusedRecords()));
+    raiseTo(batchesIgnored_, static_cast<double>(feed.ignoredBatches()));
     for (std::size_t index = 0; index < refused_.size(); ++index)
         raiseTo(*refused_[index], static_cast<double>(steering.refused[index]));
     for (std::size_t index = 0; index < chosen_.size(); ++index)
@@ -155,6 +160,7 @@
     servers_.Set(static_cast<double>(statistics.servers));
     peers_.Set(static_cast<double>(statistics.peers));
     revision_.Set(static_cast<double>(feed.revision()));
+    storeEra_.Set(static_cast<double>(store.era()));
     storeReachable_.Set(feed.isStoreReachable() ? 1 : 0);
 }
 
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -45,6 +45,7 @@
     prometheus::Counter& reportsSent_;
     prometheus::Counter& reportsIgnored_;
     prometheus::Counter& recordsRefused_;
+    prometheus::Counter& batchesIgnored_;
     prometheus::Counter& logLinesDropped_;
     prometheus::Counter& reportsReceived_;
     prometheus::Gauge& shortServices_;
@@ -55,6 +56,7 @@
     prometheus::Gauge& servers_;
     prometheus::Gauge& peers_;
     prometheus::Gauge& revision_;
+    prometheus::Gauge& storeEra_;
     prometheus::Gauge& storeReachable_;
     prometheus::Gauge& ready_;
     prometheus::Gauge& configurationVersion_;
--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -18,6 +18,9 @@
 /// Line limit per second for events about single backend servers; thousands of them at startup must not flood the log.
 inline constexpr uint32_t serverLinesPerSecond = 1000;
 
+/// Line limit per second for batches that are not applied; peers may send the same one together.
+inline constexpr uint32_t batchLinesPerSecond = 20;
+
 inline constexpr Event flowPlaced { 5001, "flow_placed", Level::Info,
     "A flow's first packet was sent to a backend server; the fields show what decided the choice.",
     flowLinesPerSecond };
@@ -91,11 +94,17 @@
 inline constexpr Event storeReadDeferred { 5039, "store_read_deferred", Level::Info,
     "The first page of the store's records was read; the records are fetched from peers that read all of them." };
 
+inline constexpr Event batchIgnored { 5040, "batch_ignored", Level::Info,
+    "Records from the store or a peer were not applied: they end before the known revision, or start after it.",
+    batchLinesPerSecond };
+inline constexpr Event storeEraChanged { 5041, "store_era_changed", Level::Warning,
+    "The store came back from a copy; what was written to it after the copy may be missing." };
+
 /// All events of entryd, in the order of their numbers.
 inline constexpr std::array all { flowPlaced, flowAttemptedAgain, flowOpenedLate, flowRefused, flowNeverOpened,
     requestSeen, responseShort, packetMalformed, readinessChanged, leaving, left, processPaused, configurationInForce,
     serverListed, serverUnlisted, domainEvacuated, recordRefused, peerListed, peerUnlisted, stateSynchronized,
     serverUnreachable, probeFailed, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp,
-    peerFetchFailed, storeWatchStarted, storeWatchEnded, storeReadDeferred };
+    peerFetchFailed, storeWatchStarted, storeWatchEnded, storeReadDeferred, batchIgnored, storeEraChanged };
 
 }
--- a/Libraries/LibEntry/RegistrationThread.cpp
+++ b/Libraries/LibEntry/RegistrationThread.cpp
@@ -50,7 +50,7 @@
 bool RegistrationThread::registerWithNewLease()
 {
     const auto lease = client_.grantLease(settings_.store.leaseDuration);
-    counters_.count(StoreCall::Lease, lease.outcome);
+    counters_.count(StoreCall::Lease, lease);
     if (!lease.isOk()) {
         logFailure(StoreCall::Lease, lease.outcome, lease.detail);
         return false;
@@ -74,7 +74,7 @@
         .value = Platform::encodeEntryVm(record),
         .lease = lease_,
         .expectedRevision = std::nullopt });
-    counters_.count(StoreCall::Put, put.outcome);
+    counters_.count(StoreCall::Put, put);
     if (!put.isOk()) {
         logFailure(StoreCall::Put, put.outcome, put.detail);
         return false;
@@ -94,7 +94,7 @@
         return failureRetryInterval;
     }
     const auto renewed = client_.renewLease(lease_);
-    counters_.count(StoreCall::Renew, renewed.outcome);
+    counters_.count(StoreCall::Renew, renewed);
     if (renewed.isOk())
         return renewalInterval;
     logFailure(StoreCall::Renew, renewed.outcome, renewed.detail);
@@ -110,7 +110,7 @@
     if (lease_ == 0)
         return;
     const auto ended = client_.endLease(lease_);
-    counters_.count(StoreCall::Lease, ended.outcome);
+    counters_.count(StoreCall::Lease, ended);
     if (!ended.isOk())
         logFailure(StoreCall::Lease, ended.outcome, ended.detail);
 }
--- a/Libraries/LibEntry/StateFeed.cpp
+++ b/Libraries/LibEntry/StateFeed.cpp
@@ -121,6 +121,18 @@
 void StateFeed::apply(const Mirror::ChangeBatch& batch, std::string_view source)
 {
     const std::scoped_lock lock(mutex_);
+    if (!mirror_.accepts(batch)) {
+        ignoredBatches_.fetch_add(1, std::memory_order_relaxed);
+        Log::write(Events::batchIgnored,
+            Fields()
+                .add("era", batch.era)
+                .add("after", batch.after)
+                .add("up_to", batch.upTo)
+                .add("complete", batch.isComplete)
+                .add("revision", mirror_.revision())
+                .add("source", source));
+        return;
+    }
     const bool wasSynchronized = mirror_.isSynchronized();
     for (const auto& record : mirror_.apply(batch))
         applyRecord(record, source);
--- a/Libraries/LibEntry/StateFeed.h
+++ b/Libraries/LibEntry/StateFeed.h
@@ -40,6 +40,7 @@
     bool isSynchronized() const { return synchronized_.load(std::memory_order_acquire); }
     bool isStoreReachable() const { return storeReachable_.load(std::memory_order_acquire); }
     uint64_t refusedRecords() const { return refusedRecords_.load(std::memory_order_relaxed); }
+    uint64_t ignoredBatches() const { return ignoredBatches_.load(std::memory_order_relaxed); }
 
     /// For the packet thread.
     bool tryPop(Steering::StateEvent& event);
@@ -61,6 +62,7 @@
     std::atomic<bool> synchronized_ { false };
     std::atomic<bool> storeReachable_ { true };
     std::atomic<uint64_t> refusedRecords_ { 0 };
+    std::atomic<uint64_t> ignoredBatches_ { 0 };
 };
 
 }
--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -113,12 +113,12 @@
 {
     const auto after = partialSnapshot_ ? partialSnapshot_->records.back().key : std::string();
     auto page = client_.readPage(Platform::Names::allKeysPrefix, after);
-    counters_.count(StoreCall::Read, page.outcome);
+    counters_.count(StoreCall::Read, page);
     if (!page.isOk()) {
         handleCallFailure(page.outcome, page.detail);
         return false;
     }
-    handleCallSuccess();
+    handleCallSuccess(page.era);
     const bool hasMore = page.value.hasMore;
     const bool isFirstPage = !partialSnapshot_;
     if (isFirstPage)
@@ -167,10 +167,10 @@
 {
     const auto wait = beginWatch();
     const auto response = client_.watch(Platform::Names::allKeysPrefix, feed_.revision(), wait);
-    counters_.count(StoreCall::Watch, response.outcome);
+    counters_.count(StoreCall::Watch, response);
     if (response.outcome == Platform::StoreOutcome::HistoryGone) {
-        handleCallSuccess();
-        Log::write(Events::historyGone, Log::Fields().add("revision", feed_.revision()));
+        handleCallSuccess(response.era);
+        Log::write(Events::historyGone, Log::Fields().add("revision", feed_.revision()).add("era", response.era));
         isHistoryGone_ = true;
         return true;
     }
@@ -178,15 +178,22 @@
         handleCallFailure(response.outcome, response.detail);
         return false;
     }
-    handleCallSuccess();
+    handleCallSuccess(response.era);
     feed_.apply(response.value, "store");
     if (!response.value.records.empty())
         worker_.pause(Steering::DisseminationTimes::changeBatchingInterval);
     return true;
 }
 
-void StoreThread::handleCallSuccess()
+void StoreThread::handleCallSuccess(uint64_t era)
 {
+    if (era > era_) {
+        if (era_ != 0) {
+            Log::write(Events::storeEraChanged,
+                Log::Fields().add("from", era_).add("to", era).add("revision", feed_.revision()));
+        }
+        era_ = era;
+    }
     const auto now = std::chrono::steady_clock::now();
     bool isFirstAnswer = false;
     {
--- a/Libraries/LibEntry/StoreThread.h
+++ b/Libraries/LibEntry/StoreThread.h
@@ -46,7 +46,7 @@
     /// Returns how long the watch that now begins should wait.
     Base::milliseconds beginWatch();
     bool watch();
-    void handleCallSuccess();
+    void handleCallSuccess(uint64_t era);
     void handleCallFailure(Platform::StoreOutcome, const std::string& detail);
 
     const EntrySettings& settings_;
@@ -59,6 +59,8 @@
     mutable std::mutex responsivenessMutex_;
     /// Changed by this thread only, under the mutex.
     Steering::StoreResponsiveness responsiveness_;
+    /// The highest era that the store has stated to this thread; zero if none.
+    uint64_t era_ { 0 };
     /// Whether the store no longer has the changes after the known revision.
     bool isHistoryGone_ { false };
     /// The pages read so far, kept so that a rejected call repeats one page only.
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -156,6 +156,8 @@
     }
     const bool keepAlive = parser.get().keep_alive();
     Response response { .status = parser.get().result_int(), .body = std::move(parser.get().body()) };
+    for (const auto& field : parser.get().base())
+        response.headers.push_back({ .name = std::string(field.name_string()), .value = std::string(field.value()) });
     if (!keepAlive)
         close();
     return response;
--- a/Libraries/LibHttp/Message.h
+++ b/Libraries/LibHttp/Message.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Http {
 
@@ -19,9 +22,19 @@
     std::string body;
 };
 
+struct Header {
+    std::string name;
+    std::string value;
+};
+
 struct Response {
     uint32_t status { 0 };
     std::string body;
+    /// As received, in their order; empty in responses to send.
+    std::vector<Header> headers {};
+
+    /// The value of the first header of this name, in any case; nothing if there is none.
+    std::optional<std::string_view> header(std::string_view name) const;
 };
 
 }
--- a/Libraries/LibMirror/Mirror.cpp
+++ b/Libraries/LibMirror/Mirror.cpp
@@ -63,9 +63,14 @@
     return batch.isComplete && !record.isDeletion && !isKnownDeleted;
 }
 
+bool Mirror::accepts(const ChangeBatch& batch) const
+{
+    return batch.upTo >= revision_ && (batch.isComplete || batch.after <= revision_);
+}
+
 std::vector<Record> Mirror::apply(const ChangeBatch& batch)
 {
-    if (batch.upTo < revision_ || (!batch.isComplete && batch.after > revision_))
+    if (!accepts(batch))
         return {};
     auto changes = batch.records;
     if (batch.isComplete)
--- a/Libraries/LibMirror/Mirror.h
+++ b/Libraries/LibMirror/Mirror.h
@@ -11,6 +11,8 @@
 /// ignored. Batches may come from several sources. Not thread-safe.
 class Mirror {
 public:
+    /// Whether apply() would use a batch: it neither ends before the current revision nor leaves a gap.
+    bool accepts(const ChangeBatch&) const;
     /// Applies a batch and returns the records that changed something, ordered by revision, including a deletion for
     /// each key missing from a complete batch. A batch that starts after the current revision leaves a gap and is
     /// ignored.
--- a/Libraries/LibMirror/Record.h
+++ b/Libraries/LibMirror/Record.h
@@ -23,6 +23,9 @@
 
 /// Changes ordered by revision.
 struct ChangeBatch {
+    /// The store's era in which the revisions were given out: it rises each time the store comes back from a copy. Zero
+    /// if the store does not state it.
+    uint64_t era { 0 };
     /// The batch contains the newest state of every key that changed after this revision, up to upTo.
     uint64_t after { 0 };
     /// The last revision that the batch covers.
