--- a/StandIns/LibFleet/Deployment.cpp
+++ b/StandIns/LibFleet/Deployment.cpp
@@ -216,9 +216,12 @@
     };
     const Json configuration { { "version", configurationVersion_ }, { "routes", routes },
         { "services", { service("rota"), service("sheets") } }, { "limits", { { "idle_timeout_ms", 15000 } } } };
-    records_.put("op/config", configuration.dump());
+    configuration_ = configuration.dump();
+    rewriteConfiguration();
 }
 
+void Deployment::rewriteConfiguration() { records_.put("op/config", configuration_); }
+
 void Deployment::setStoreFault(const StoreFault& fault)
 {
     for (auto& entryVm : entryVms_)
--- a/StandIns/LibFleet/Deployment.h
+++ b/StandIns/LibFleet/Deployment.h
@@ -57,8 +57,11 @@
     FleetServer& addServer(const std::string& service, const std::string& zone, const Base::Ipv4Endpoint& address = {});
     /// Removes the server's entry from the store and stops the server.
     void removeServer(FleetServer&);
-    /// Writes the configuration to the store, with the current extra routes.
+    /// Writes a new version of the configuration to the store, with the current extra routes.
     void writeConfiguration();
+    /// Writes the last version again, as operators do when the store came back from a copy.
+    void rewriteConfiguration();
+    uint64_t configurationVersion() const { return configurationVersion_; }
     void addRoute(uint16_t port);
     void removeRoute(uint16_t port);
     /// Sets the fault on every entry VM's store front.
@@ -89,6 +92,7 @@
     std::vector<std::unique_ptr<FleetCaller>> callers_;
     std::vector<uint16_t> extraRoutePorts_;
     uint64_t configurationVersion_ { 0 };
+    std::string configuration_;
     std::size_t serverCount_ { 0 };
     std::vector<std::string> unexpectedExits_;
 };
--- a/StandIns/LibFleet/FleetServer.cpp
+++ b/StandIns/LibFleet/FleetServer.cpp
@@ -47,13 +47,13 @@
     *alive_ = false;
 }
 
-void FleetServer::writeEntry() const
+void FleetServer::writeEntry()
 {
     const bool isLeaving = record_.leavingSince != Base::TimePoint::max();
     const nlohmann::json entry { { "service", options_.service }, { "address", address_.toString() },
         { "zone", options_.zone }, { "version", "v1" }, { "concurrency", slotCount },
         { "state", isLeaving ? "draining" : "ready" }, { "warmup_left_ms", options_.remainingWarmUp.count() },
-        { "sequence", 1 }, { "born", 1'700'000'000'000 } };
+        { "sequence", ++sequence_ }, { "born", 1'700'000'000'000 } };
     records_.put("servers/" + options_.id, entry.dump());
 }
 
--- a/StandIns/LibFleet/FleetServer.h
+++ b/StandIns/LibFleet/FleetServer.h
@@ -35,7 +35,7 @@
     void crash(Base::TimePoint now);
     /// Removes the entry from the store, as the platform does after missed heartbeats.
     void removeEntry() const { records_.remove("servers/" + options_.id); }
-    void rewriteEntry() const { writeEntry(); }
+    void rewriteEntry() { writeEntry(); }
 
     const InvariantChecker::Server& record() const { return record_; }
     const Options& options() const { return options_; }
@@ -55,7 +55,7 @@
         uint32_t requestEndSequence { 0 };
     };
 
-    void writeEntry() const;
+    void writeEntry();
     void receive();
     void handlePacket(Base::TimePoint now, Base::Ipv4Address entryVm, const FlowPacket&);
     void handleFirstPacket(Base::TimePoint now, Base::Ipv4Address entryVm, const FlowPacket&);
@@ -78,6 +78,7 @@
     std::deque<std::function<void()>> queue_;
     uint32_t nextSequence_ { 1 };
     /// False after destruction, so that pending callbacks do nothing.
+    uint64_t sequence_ { 0 };
     std::shared_ptr<bool> alive_ { std::make_shared<bool>(true) };
 };
 
--- a/StandIns/LibFleet/RecordStore.cpp
+++ b/StandIns/LibFleet/RecordStore.cpp
@@ -4,32 +4,32 @@
 
 uint64_t RecordStore::put(const std::string& key, const std::string& value, uint64_t lease)
 {
-    auto& item = items_[key];
-    ++revision_;
+    auto& item = state_.items[key];
+    ++state_.revision;
     item = { .key = key,
         .value = value,
-        .revision = revision_,
-        .createdRevision = item.createdRevision != 0 ? item.createdRevision : revision_,
+        .revision = state_.revision,
+        .createdRevision = item.createdRevision != 0 ? item.createdRevision : state_.revision,
         .lease = lease };
-    history_.push_back(item);
+    state_.history.push_back(item);
     if (onChange_)
         onChange_();
-    return revision_;
+    return state_.revision;
 }
 
 void RecordStore::remove(const std::string& key)
 {
-    if (items_.erase(key) == 0)
+    if (state_.items.erase(key) == 0)
         return;
-    history_.push_back({ .key = key, .value = {}, .revision = ++revision_, .isDeletion = true });
+    state_.history.push_back({ .key = key, .value = {}, .revision = ++state_.revision, .isDeletion = true });
     if (onChange_)
         onChange_();
 }
 
 const RecordStore::Item* RecordStore::find(const std::string& key) const
 {
-    const auto found = items_.find(key);
-    return found != items_.end() ? &found->second : nullptr;
+    const auto found = state_.items.find(key);
+    return found != state_.items.end() ? &found->second : nullptr;
 }
 
 std::vector<RecordStore::Item> RecordStore::range(
@@ -37,8 +37,8 @@
 {
     std::vector<Item> items;
     hasMore = false;
-    for (auto entry = after.empty() ? items_.lower_bound(prefix) : items_.upper_bound(after); entry != items_.end();
-         ++entry) {
+    for (auto entry = after.empty() ? state_.items.lower_bound(prefix) : state_.items.upper_bound(after);
+         entry != state_.items.end(); ++entry) {
         if (!entry->first.starts_with(prefix))
             break;
         if (items.size() == limit) {
@@ -53,10 +53,10 @@
 std::optional<std::vector<RecordStore::Item>> RecordStore::changesAfter(
     const std::string& prefix, uint64_t revision) const
 {
-    if (revision < historyStartRevision_)
+    if (revision < state_.historyStartRevision || revision > state_.revision)
         return std::nullopt;
     std::vector<Item> changes;
-    for (const auto& item : history_) {
+    for (const auto& item : state_.history) {
         if (item.revision > revision && item.key.starts_with(prefix))
             changes.push_back(item);
     }
@@ -65,20 +65,28 @@
 
 void RecordStore::dropHistory()
 {
-    history_.clear();
-    historyStartRevision_ = revision_;
+    state_.history.clear();
+    state_.historyStartRevision = state_.revision;
+}
+
+void RecordStore::restoreCopy()
+{
+    state_ = copy_;
+    ++era_;
+    if (onChange_)
+        onChange_();
 }
 
 uint64_t RecordStore::grantLease(Base::TimePoint now, Base::milliseconds lifetime)
 {
-    leases_[++nextLease_] = { .lifetime = lifetime, .expiresAt = now + lifetime };
-    return nextLease_;
+    state_.leases[++state_.nextLease] = { .lifetime = lifetime, .expiresAt = now + lifetime };
+    return state_.nextLease;
 }
 
 std::optional<Base::milliseconds> RecordStore::renewLease(Base::TimePoint now, uint64_t lease)
 {
-    const auto found = leases_.find(lease);
-    if (found == leases_.end())
+    const auto found = state_.leases.find(lease);
+    if (found == state_.leases.end())
         return std::nullopt;
     found->second.expiresAt = now + found->second.lifetime;
     return found->second.lifetime;
@@ -86,10 +94,10 @@
 
 void RecordStore::revokeLease(uint64_t lease)
 {
-    if (leases_.erase(lease) == 0)
+    if (state_.leases.erase(lease) == 0)
         return;
     std::vector<std::string> keys;
-    for (const auto& [key, item] : items_) {
+    for (const auto& [key, item] : state_.items) {
         if (item.lease == lease)
             keys.push_back(key);
     }
@@ -100,7 +108,7 @@
 void RecordStore::expireLeases(Base::TimePoint now)
 {
     std::vector<uint64_t> expired;
-    for (const auto& [id, lease] : leases_) {
+    for (const auto& [id, lease] : state_.leases) {
         if (lease.expiresAt <= now)
             expired.push_back(id);
     }
