--- a/Libraries/LibEntry/CatchUpThread.cpp
+++ b/Libraries/LibEntry/CatchUpThread.cpp
@@ -46,14 +46,15 @@
     worker_.start([this] { run(); });
 }
 
-void CatchUpThread::updateCandidatePeer(Base::TimePoint now, Base::EntryVmId peer, uint64_t revision, bool isUrgent)
+void CatchUpThread::updateCandidatePeer(
+    Base::TimePoint now, Base::EntryVmId peer, Base::StorePosition position, bool isUrgent)
 {
-    const auto ownRevision = feed_.revision();
-    if (revision <= ownRevision)
+    const auto own = feed_.position();
+    if (position <= own)
         return;
     {
         const std::scoped_lock lock(mutex_);
-        if (!relayChoice_.handleReport(now, peer, revision, isUrgent, ownRevision))
+        if (!relayChoice_.handleReport(now, peer, position, isUrgent, own))
             return;
     }
     worker_.wake();
@@ -62,7 +63,7 @@
 std::optional<Steering::RelayChoice::Fetch> CatchUpThread::selectFetch(Base::TimePoint now)
 {
     const std::scoped_lock lock(mutex_);
-    if (const auto fetch = relayChoice_.next(now, feed_.revision()))
+    if (const auto fetch = relayChoice_.next(now, feed_.position()))
         return fetch;
     if (feed_.isSynchronized())
         return std::nullopt;
@@ -116,7 +117,7 @@
         client_.emplace(std::move(client));
         clientPeer_ = peer;
     }
-    uint64_t after = feed_.isSynchronized() ? feed_.revision() : 0;
+    auto after = feed_.isSynchronized() ? feed_.position() : Base::StorePosition {};
     for (;;) {
         TRY_ASSIGN(
             response, client_->sendRequest(Peer::Channel::Query, Mirror::encodeRelayRequest({ .after = after })));
@@ -124,21 +125,27 @@
         feed_.apply(part, source);
         if (!part.hasMore)
             return {};
-        after = part.upTo;
+        after = part.end();
     }
 }
 
 bool CatchUpThread::fetchFrom(Base::EntryVmId peer)
 {
     const auto source = peer.endpoint().toString();
-    const auto before = feed_.revision();
+    const auto before = feed_.position();
     if (const auto error = Base::captureError([&] { return fetchAll(peer, source); })) {
         client_.reset();
         Log::write(Events::peerFetchFailed, Log::Fields().add("peer", source).add("error", error->detail));
         return false;
     }
-    Log::write(Events::caughtUp, Log::Fields().add("peer", source).add("from", before).add("to", feed_.revision()));
-    return feed_.revision() > before;
+    const auto reached = feed_.position();
+    Log::write(Events::caughtUp,
+        Log::Fields()
+            .add("peer", source)
+            .add("from", before.revision)
+            .add("to", reached.revision)
+            .add("era", reached.era));
+    return reached > before;
 }
 
 }
--- a/Libraries/LibEntry/CatchUpThread.h
+++ b/Libraries/LibEntry/CatchUpThread.h
@@ -9,7 +9,7 @@
 
 namespace Entry {
 
-/// Fetches records from peers at a newer revision than this entry VM, since the store may reject calls of single
+/// Fetches records from peers at a newer position than this entry VM, since the store may reject calls of single
 /// machines and connections to it may stop responding.
 class CatchUpThread {
 public:
@@ -23,16 +23,16 @@
     void setSeeds(std::vector<Base::Ipv4Endpoint>);
     /// Peers that are asked in place of the seeds until the first complete state is received. Any thread.
     void askInitially(std::vector<Base::EntryVmId>);
-    /// Makes the peer a candidate to fetch from if its revision is newer. isUrgent: neither the store nor a nearer peer
+    /// Makes the peer a candidate to fetch from if its position is newer. isUrgent: neither the store nor a nearer peer
     /// will send the records, so they are fetched without delay. Any thread.
-    void updateCandidatePeer(Base::TimePoint now, Base::EntryVmId, uint64_t revision, bool isUrgent);
+    void updateCandidatePeer(Base::TimePoint now, Base::EntryVmId, Base::StorePosition, bool isUrgent);
 
 private:
     void run();
     /// The next fetch, due now or later; nothing if there is no peer to fetch from.
     std::optional<Steering::RelayChoice::Fetch> selectFetch(Base::TimePoint now);
     Base::ErrorOr<void> fetchAll(Base::EntryVmId, const std::string& source);
-    /// Whether the revision advanced.
+    /// Whether the position advanced.
     bool fetchFrom(Base::EntryVmId);
 
     const EntrySettings& settings_;
--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -99,12 +99,17 @@
     batchLinesPerSecond };
 inline constexpr Event storeEraChanged { 5041, "store_era_changed", Level::Warning,
     "The store came back from a copy; what was written to it after the copy may be missing." };
+inline constexpr Event configurationNotNewer {
+    5042, "configuration_not_newer", Level::Warning,
+    "A configuration is older than the one in force, which stays; a store that came back from a copy shows such ones."
+};
 
 /// All events of entryd, in the order of their numbers.
 inline constexpr std::array all { flowPlaced, flowAttemptedAgain, flowOpenedLate, flowRefused, flowNeverOpened,
     requestSeen, responseShort, packetMalformed, readinessChanged, leaving, left, processPaused, configurationInForce,
     serverListed, serverUnlisted, domainEvacuated, recordRefused, peerListed, peerUnlisted, stateSynchronized,
     serverUnreachable, probeFailed, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp,
-    peerFetchFailed, storeWatchStarted, storeWatchEnded, storeReadDeferred, batchIgnored, storeEraChanged };
+    peerFetchFailed, storeWatchStarted, storeWatchEnded, storeReadDeferred, batchIgnored, storeEraChanged,
+    configurationNotNewer };
 
 }
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -316,7 +316,7 @@
     const auto peer = decider_.peers().find(report.sender);
     const bool isNear = peer != decider_.peers().end() && peer->second.failureDomain == settings_.failureDomain;
     const bool isStoreResponding = store_.view(now) == Steering::StoreView::Responding;
-    catchUp_.updateCandidatePeer(now, report.sender, report.revision, isNear && !isStoreResponding);
+    catchUp_.updateCandidatePeer(now, report.sender, report.position, isNear && !isStoreResponding);
 }
 
 void PacketThread::sendHedgedAttempts(Base::TimePoint now)
@@ -391,10 +391,10 @@
         feed_.setStoreReachable(
             Steering::WatcherChoice::isStoreResponding(now, view, decider_.peers()), "reported by peers");
     }
-    // A watcher reports a new revision immediately; other entry VMs report it at their next regular interval. That the
+    // A watcher reports a new position immediately; other entry VMs report it at their next regular interval. That the
     // store no longer responds to it is reported immediately as well, so that another entry VM takes over.
-    const bool hasNewRevision = view == Steering::StoreView::Responding && feed_.revision() != reportedRevision_;
-    if (hasNewRevision || view != reportedView_) {
+    const bool hasNewPosition = view == Steering::StoreView::Responding && feed_.position() != reportedPosition_;
+    if (hasNewPosition || view != reportedView_) {
         nextNearReport_ = now;
         nextFarReport_ = now;
     }
@@ -423,15 +423,16 @@
     if (decider_.peers().empty())
         return;
     const auto view = store_.view(now);
+    const auto position = feed_.position();
     const auto body = Steering::encodeLoadReport({ .sender = settings_.identity(),
         .sequence = ++reportSequence_,
-        .revision = feed_.revision(),
+        .position = position,
         .store = view,
         .loads = decider_.ownLoads(),
         .demands = decider_.ownDemands(),
         .speeds = decider_.takeReportedSpeeds(),
         .possiblyRestarted = decider_.possiblyRestarted(now) });
-    reportedRevision_ = feed_.revision();
+    reportedPosition_ = position;
     reportedView_ = view;
     const auto code = authenticator_.sign(body);
     std::vector<std::byte> datagram(code.begin(), code.end());
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -116,7 +116,7 @@
     int reportSocket_;
     Steering::SteeringDecider decider_;
     Steering::WatcherChoice watcherChoice_;
-    uint64_t reportedRevision_ { 0 };
+    Base::StorePosition reportedPosition_;
     uint64_t reportedSuspicionCount_ { 0 };
     Steering::StoreView reportedView_ { Steering::StoreView::NotWatching };
     std::unique_ptr<Buffers> buffers_;
--- a/Libraries/LibEntry/RelayThread.cpp
+++ b/Libraries/LibEntry/RelayThread.cpp
@@ -43,13 +43,13 @@
     // An empty response does not decode, so that the client tries another peer.
     if (!request.isOk() || !feed_.isSynchronized())
         return {};
-    if (request.value->after == 0)
+    const auto position = feed_.position();
+    if (request.value->after.revision == 0 || request.value->after.era != position.era)
         return completeState();
-    const auto revision = feed_.revision();
-    if (cachedResponse_.empty() || cachedAfter_ != request.value->after || cachedRevision_ != revision) {
+    if (cachedResponse_.empty() || cachedAfter_ != request.value->after || cachedPosition_ != position) {
         cachedResponse_ = Mirror::encodeBatch(feed_.changesAfter(request.value->after, responseBytesLimit));
         cachedAfter_ = request.value->after;
-        cachedRevision_ = revision;
+        cachedPosition_ = position;
     }
     return cachedResponse_;
 }
@@ -57,8 +57,10 @@
 const std::vector<std::byte>& RelayThread::completeState()
 {
     const auto now = std::chrono::steady_clock::now();
-    if (completeState_.empty() || now - completeStateAt_ > completeStateLifetime) {
-        completeState_ = Mirror::encodeBatch(feed_.changesAfter(0, responseBytesLimit));
+    const auto era = feed_.position().era;
+    if (completeState_.empty() || completeStateEra_ != era || now - completeStateAt_ > completeStateLifetime) {
+        completeState_ = Mirror::encodeBatch(feed_.changesAfter({}, responseBytesLimit));
+        completeStateEra_ = era;
         completeStateAt_ = now;
     }
     return completeState_;
--- a/Libraries/LibEntry/RelayThread.h
+++ b/Libraries/LibEntry/RelayThread.h
@@ -30,10 +30,11 @@
     StateFeed& feed_;
     std::unique_ptr<Peer::PeerTransport> transport_;
     /// The last response and its request, cached because all peers send the same request after a change.
-    uint64_t cachedAfter_ { 0 };
-    uint64_t cachedRevision_ { 0 };
+    Base::StorePosition cachedAfter_;
+    Base::StorePosition cachedPosition_;
     std::vector<std::byte> cachedResponse_;
     std::vector<std::byte> completeState_;
+    uint64_t completeStateEra_ { 0 };
     Base::TimePoint completeStateAt_ {};
     Worker worker_;
 };
--- a/Libraries/LibEntry/StateFeed.cpp
+++ b/Libraries/LibEntry/StateFeed.cpp
@@ -16,7 +16,8 @@
         Log::write(Events::configurationInForce,
             Fields()
                 .add("version", event.configuration->version)
-                .add("revision", event.configuration->revision)
+                .add("era", event.configuration->position.era)
+                .add("revision", event.configuration->position.revision)
                 .add("routes", event.configuration->routes.size())
                 .add("source", source));
     }
@@ -93,9 +94,9 @@
     return true;
 }
 
-void StateFeed::applyRecord(const Mirror::Record& record, std::string_view source)
+void StateFeed::applyRecord(const Mirror::Record& record, uint64_t era, std::string_view source)
 {
-    auto event = Base::capture([&] { return Platform::decodeRecord(record); });
+    auto event = Base::capture([&] { return Platform::decodeRecord(record, era); });
     if (!event.isOk()) {
         refusedRecords_.fetch_add(1, std::memory_order_relaxed);
         Log::write(Events::recordRefused,
@@ -111,6 +112,19 @@
     }
     if (!*event.value)
         return;
+    if (const auto* changed = std::get_if<Steering::ConfigurationChanged>(&**event.value)) {
+        if (configuration_ && !changed->configuration->isNewerThan(*configuration_)) {
+            Log::write(Events::configurationNotNewer,
+                Fields()
+                    .add("version", changed->configuration->version)
+                    .add("in_force", configuration_->version)
+                    .add("era", era)
+                    .add("revision", record.revision)
+                    .add("source", source));
+            return;
+        }
+        configuration_ = changed->configuration;
+    }
     std::visit([&](const auto& typed) { logEvent(typed, source); }, **event.value);
     const auto* unlisted = std::get_if<Steering::PeerUnlisted>(&**event.value);
     if (unlisted != nullptr && unlisted->peer == options_.self && options_.onOwnRecordRemoved)
@@ -118,7 +132,7 @@
     push(std::move(**event.value));
 }
 
-void StateFeed::apply(const Mirror::ChangeBatch& batch, std::string_view source)
+bool StateFeed::apply(const Mirror::ChangeBatch& batch, std::string_view source)
 {
     const std::scoped_lock lock(mutex_);
     if (!mirror_.accepts(batch)) {
@@ -129,21 +143,43 @@
                 .add("after", batch.after)
                 .add("up_to", batch.upTo)
                 .add("complete", batch.isComplete)
-                .add("revision", mirror_.revision())
+                .add("known_era", mirror_.position().era)
+                .add("known_revision", mirror_.position().revision)
                 .add("source", source));
-        return;
+        return false;
     }
     const bool wasSynchronized = mirror_.isSynchronized();
+    const auto previous = mirror_.position();
+    const bool isRestored = wasSynchronized && batch.era > previous.era;
+    if (isRestored) {
+        Log::write(Events::storeEraChanged,
+            Fields()
+                .add("from", previous.era)
+                .add("to", batch.era)
+                .add("known_revision", previous.revision)
+                .add("revision", batch.upTo)
+                .add("source", source));
+    }
+    const auto recordSource = isRestored ? "copy: " + std::string(source) : std::string(source);
     for (const auto& record : mirror_.apply(batch))
-        applyRecord(record, source);
-    if (!wasSynchronized && mirror_.isSynchronized()) {
+        applyRecord(record, batch.era, recordSource);
+    const bool isFirst = !wasSynchronized && mirror_.isSynchronized();
+    if (isFirst) {
         push(Steering::StateSynchronized {});
         Log::write(Events::stateSynchronized,
-            Fields().add("revision", mirror_.revision()).add("records", mirror_.size()).add("source", source));
+            Fields()
+                .add("era", batch.era)
+                .add("revision", batch.upTo)
+                .add("records", mirror_.size())
+                .add("source", source));
+    }
+    {
+        const std::scoped_lock positionLock(positionMutex_);
+        position_ = mirror_.position();
     }
-    revision_.store(mirror_.revision(), std::memory_order_release);
     synchronized_.store(mirror_.isSynchronized(), std::memory_order_release);
     options_.wake();
+    return true;
 }
 
 void StateFeed::setStoreReachable(bool isReachable, std::string_view detail)
@@ -161,10 +197,10 @@
     options_.wake();
 }
 
-Mirror::ChangeBatch StateFeed::changesAfter(uint64_t revision, std::size_t maximumBytes) const
+Mirror::ChangeBatch StateFeed::changesAfter(Base::StorePosition position, std::size_t maximumBytes) const
 {
     const std::scoped_lock lock(mutex_);
-    return mirror_.changesAfter(revision, maximumBytes);
+    return mirror_.changesAfter(position, maximumBytes);
 }
 
 }
--- a/Libraries/LibEntry/StateFeed.h
+++ b/Libraries/LibEntry/StateFeed.h
@@ -28,15 +28,21 @@
 
     explicit StateFeed(Options);
 
-    /// Applies a batch of records. source: "store" or the peer's endpoint, for the log.
-    void apply(const Mirror::ChangeBatch&, std::string_view source);
+    /// Applies a batch of records. source: "store" or the peer's endpoint, for the log. Returns false if the batch was
+    /// ignored; see Mirror::accepts().
+    bool apply(const Mirror::ChangeBatch&, std::string_view source);
     /// detail: the store's response or the source of the information, for the log.
     void setStoreReachable(bool isReachable, std::string_view detail);
 
-    /// The changes that a peer at the given revision lacks, see Mirror::changesAfter().
-    Mirror::ChangeBatch changesAfter(uint64_t revision, std::size_t maximumBytes) const;
-    /// Revision of the store up to which records have been applied.
-    uint64_t revision() const { return revision_.load(std::memory_order_acquire); }
+    /// The changes that a peer at the given position lacks, see Mirror::changesAfter().
+    Mirror::ChangeBatch changesAfter(Base::StorePosition, std::size_t maximumBytes) const;
+    /// Position of the store up to which records have been applied.
+    Base::StorePosition position() const
+    {
+        const std::scoped_lock lock(positionMutex_);
+        return position_;
+    }
+    uint64_t revision() const { return position().revision; }
     bool isSynchronized() const { return synchronized_.load(std::memory_order_acquire); }
     bool isStoreReachable() const { return storeReachable_.load(std::memory_order_acquire); }
     uint64_t refusedRecords() const { return refusedRecords_.load(std::memory_order_relaxed); }
@@ -48,17 +54,21 @@
 
 private:
     void push(Steering::StateEvent);
-    void applyRecord(const Mirror::Record&, std::string_view source);
+    void applyRecord(const Mirror::Record&, uint64_t era, std::string_view source);
 
     Options options_;
     /// Protects mirror_, and keeps the events of different sources in the order of their changes.
     mutable std::mutex mutex_;
     Mirror::Mirror mirror_;
+    /// The newest configuration that was passed on.
+    std::shared_ptr<const Steering::Configuration> configuration_;
     /// Protects events_; held for single events only, so that the packet thread never waits for a batch.
     std::mutex eventsMutex_;
     std::deque<Steering::StateEvent> events_;
     std::atomic<std::size_t> eventCount_ { 0 };
-    std::atomic<uint64_t> revision_ { 0 };
+    /// Protects position_; the packet thread does not wait for a batch to read it.
+    mutable std::mutex positionMutex_;
+    Base::StorePosition position_;
     std::atomic<bool> synchronized_ { false };
     std::atomic<bool> storeReachable_ { true };
     std::atomic<uint64_t> refusedRecords_ { 0 };
--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -109,6 +109,27 @@
     return watch();
 }
 
+void StoreThread::assumeKnownEraIfMissing(Mirror::ChangeBatch& batch) const
+{
+    if (batch.era == 0)
+        batch.era = feed_.position().era;
+}
+
+bool StoreThread::addPage(Mirror::ChangeBatch&& page)
+{
+    if (!partialSnapshot_) {
+        partialSnapshot_ = std::move(page);
+        return true;
+    }
+    if (page.era != partialSnapshot_->era) {
+        partialSnapshot_.reset();
+        return false;
+    }
+    partialSnapshot_->hasMore = page.hasMore;
+    std::ranges::move(page.records, std::back_inserter(partialSnapshot_->records));
+    return true;
+}
+
 bool StoreThread::readNextPage()
 {
     const auto after = partialSnapshot_ ? partialSnapshot_->records.back().key : std::string();
@@ -118,21 +139,31 @@
         handleCallFailure(page.outcome, page.detail);
         return false;
     }
-    handleCallSuccess(page.era);
-    const bool hasMore = page.value.hasMore;
+    assumeKnownEraIfMissing(page.value);
     const bool isFirstPage = !partialSnapshot_;
-    if (isFirstPage)
-        partialSnapshot_ = std::move(page.value);
-    else
-        std::ranges::move(page.value.records, std::back_inserter(partialSnapshot_->records));
-    if (hasMore && isFirstPage && !feed_.isSynchronized())
+    if (!addPage(std::move(page.value))) {
+        handleCallFailure(Platform::StoreOutcome::HistoryGone, "the store's era changed between two pages");
+        return false;
+    }
+    if (!partialSnapshot_->hasMore)
+        return applySnapshot();
+    handleCallSuccess();
+    if (isFirstPage && !feed_.isSynchronized())
         waitForPeers(*partialSnapshot_);
-    if (hasMore)
-        return true;
+    return true;
+}
+
+bool StoreThread::applySnapshot()
+{
     // The batch carries the first page's revision; later changes are received again through the watch.
-    partialSnapshot_->hasMore = false;
-    feed_.apply(*partialSnapshot_, "store");
+    const auto snapshot = std::move(*partialSnapshot_);
     partialSnapshot_.reset();
+    const auto known = feed_.position();
+    if (!feed_.apply(snapshot, "store") && feed_.position() == known) {
+        handleCallFailure(Platform::StoreOutcome::HistoryGone, "the store's state is older than the known one");
+        return false;
+    }
+    handleCallSuccess();
     isHistoryGone_ = false;
     return true;
 }
@@ -152,7 +183,7 @@
         worker_.pause(synchronizationCheckInterval);
 }
 
-bool StoreThread::isBehindPages() const { return partialSnapshot_ && feed_.revision() < partialSnapshot_->upTo; }
+bool StoreThread::isBehindPages() const { return partialSnapshot_ && feed_.position() < partialSnapshot_->end(); }
 
 Base::milliseconds StoreThread::beginWatch()
 {
@@ -166,10 +197,10 @@
 bool StoreThread::watch()
 {
     const auto wait = beginWatch();
-    const auto response = client_.watch(Platform::Names::allKeysPrefix, feed_.revision(), wait);
+    auto response = client_.watch(Platform::Names::allKeysPrefix, feed_.revision(), wait);
     counters_.count(StoreCall::Watch, response);
     if (response.outcome == Platform::StoreOutcome::HistoryGone) {
-        handleCallSuccess(response.era);
+        handleCallSuccess();
         Log::write(Events::historyGone, Log::Fields().add("revision", feed_.revision()).add("era", response.era));
         isHistoryGone_ = true;
         return true;
@@ -178,22 +209,26 @@
         handleCallFailure(response.outcome, response.detail);
         return false;
     }
-    handleCallSuccess(response.era);
+    assumeKnownEraIfMissing(response.value);
+    const auto knownEra = feed_.position().era;
+    if (response.value.era < knownEra) {
+        handleCallFailure(Platform::StoreOutcome::Malformed, "the store's era is lower than the known one");
+        return false;
+    }
+    handleCallSuccess();
+    if (response.value.era > knownEra) {
+        // The changes follow on a revision that the store has given out again.
+        isHistoryGone_ = true;
+        return true;
+    }
     feed_.apply(response.value, "store");
     if (!response.value.records.empty())
         worker_.pause(Steering::DisseminationTimes::changeBatchingInterval);
     return true;
 }
 
-void StoreThread::handleCallSuccess(uint64_t era)
+void StoreThread::handleCallSuccess()
 {
-    if (era > era_) {
-        if (era_ != 0) {
-            Log::write(Events::storeEraChanged,
-                Log::Fields().add("from", era_).add("to", era).add("revision", feed_.revision()));
-        }
-        era_ = era;
-    }
     const auto now = std::chrono::steady_clock::now();
     bool isFirstAnswer = false;
     {
--- a/Libraries/LibEntry/StoreThread.h
+++ b/Libraries/LibEntry/StoreThread.h
@@ -41,12 +41,18 @@
     /// After the first of several pages: waits until a peer has supplied the records, unless this entry VM is one of
     /// those that read all of them.
     void waitForPeers(const Mirror::ChangeBatch& firstPage);
+    /// Sets the known era if the store did not state it, as one without eras or a proxy before it does.
+    void assumeKnownEraIfMissing(Mirror::ChangeBatch&) const;
+    /// Adds a page to those read so far. Returns false if it is of another era, so that reading has to start again.
+    bool addPage(Mirror::ChangeBatch&&);
+    /// Applies the complete state. Returns whether it, or what peers sent meanwhile, is in use.
+    bool applySnapshot();
     /// Whether the applied records are older than the pages read so far.
     bool isBehindPages() const;
     /// Returns how long the watch that now begins should wait.
     Base::milliseconds beginWatch();
     bool watch();
-    void handleCallSuccess(uint64_t era);
+    void handleCallSuccess();
     void handleCallFailure(Platform::StoreOutcome, const std::string& detail);
 
     const EntrySettings& settings_;
@@ -59,8 +65,6 @@
     mutable std::mutex responsivenessMutex_;
     /// Changed by this thread only, under the mutex.
     Steering::StoreResponsiveness responsiveness_;
-    /// The highest era that the store has stated to this thread; zero if none.
-    uint64_t era_ { 0 };
     /// Whether the store no longer has the changes after the known revision.
     bool isHistoryGone_ { false };
     /// The pages read so far, kept so that a rejected call repeats one page only.
--- a/Libraries/LibMirror/Mirror.cpp
+++ b/Libraries/LibMirror/Mirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <unordered_set>
+#include <utility>
 
 namespace Mirror {
 
@@ -65,13 +66,41 @@
 
 bool Mirror::accepts(const ChangeBatch& batch) const
 {
-    return batch.upTo >= revision_ && (batch.isComplete || batch.after <= revision_);
+    if (batch.isComplete)
+        return batch.end() >= position();
+    return batch.era == era_ && batch.upTo >= revision_ && batch.after <= revision_;
+}
+
+std::vector<Record> Mirror::replaceAll(const ChangeBatch& batch)
+{
+    const auto previous = std::exchange(records_, {});
+    keysByRevision_.clear();
+    deletions_.clear();
+    std::vector<Record> effective;
+    for (const auto& record : batch.records) {
+        put(record);
+        const auto known = previous.find(record.key);
+        if (known == previous.end() || known->second.value != record.value)
+            effective.push_back(record);
+    }
+    for (const auto& [key, record] : previous) {
+        if (!records_.contains(key))
+            effective.push_back({ .key = key, .revision = batch.upTo, .value = {}, .isDeletion = true });
+    }
+    std::ranges::stable_sort(effective, {}, &Record::revision);
+    era_ = batch.era;
+    revision_ = batch.upTo;
+    deletionsCompleteAfter_ = batch.upTo;
+    return effective;
 }
 
 std::vector<Record> Mirror::apply(const ChangeBatch& batch)
 {
     if (!accepts(batch))
         return {};
+    if (synchronized_ && batch.era > era_)
+        return replaceAll(batch);
+    era_ = batch.era;
     auto changes = batch.records;
     if (batch.isComplete)
         std::ranges::move(deletionsForMissingKeys(batch), std::back_inserter(changes));
@@ -97,10 +126,10 @@
     return effective;
 }
 
-ChangeBatch Mirror::changesAfter(uint64_t revision, std::size_t maximumBytes) const
+ChangeBatch Mirror::changesAfter(Base::StorePosition position, std::size_t maximumBytes) const
 {
-    ChangeBatch batch { .after = revision, .upTo = revision_ };
-    if (revision < deletionsCompleteAfter_) {
+    ChangeBatch batch { .era = era_, .after = position.revision, .upTo = revision_ };
+    if (position.era != era_ || position.revision < deletionsCompleteAfter_) {
         batch.after = 0;
         batch.isComplete = true;
     }
--- a/Libraries/LibMirror/Record.h
+++ b/Libraries/LibMirror/Record.h
@@ -3,6 +3,7 @@
 /// Records of the platform's store as sent to each entry VM, directly or through a peer: by key, in the order of the
 /// store's revisions.
 
+#include <LibBase/StorePosition.h>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -23,8 +24,7 @@
 
 /// Changes ordered by revision.
 struct ChangeBatch {
-    /// The store's era in which the revisions were given out: it rises each time the store comes back from a copy. Zero
-    /// if the store does not state it.
+    /// The store's era in which all revisions of the batch were given out.
     uint64_t era { 0 };
     /// The batch contains the newest state of every key that changed after this revision, up to upTo.
     uint64_t after { 0 };
@@ -35,6 +35,9 @@
     /// Whether changes after upTo follow in another batch; used between peers only.
     bool hasMore { false };
     std::vector<Record> records;
+
+    /// The point in the store's history at which the batch ends.
+    Base::StorePosition end() const { return { .era = era, .revision = upTo }; }
 };
 
 }
--- a/Libraries/LibMirror/RelayMessage.cpp
+++ b/Libraries/LibMirror/RelayMessage.cpp
@@ -12,7 +12,7 @@
     using Json = nlohmann::json;
     using Base::ErrorCode;
 
-    constexpr std::size_t batchFields = 5;
+    constexpr std::size_t batchFields = 6;
     constexpr std::size_t recordFields = 4;
     /// The header's length field, in network byte order.
     constexpr std::size_t headerLengthBytes = 4;
@@ -46,15 +46,15 @@
 
 std::vector<std::byte> encodeRelayRequest(const RelayRequest& request)
 {
-    return Peer::writeMsgpack(Json::array({ request.after }));
+    return Peer::writeMsgpack(Json::array({ request.after.era, request.after.revision }));
 }
 
 Base::ErrorOr<RelayRequest> decodeRelayRequest(std::span<const std::byte> bytes)
 {
     TRY_ASSIGN(value, Peer::readMsgpack(bytes));
-    if (!value.is_array() || value.size() != 1 || !value[0].is_number_unsigned())
-        return Base::makeError(ErrorCode::Malformed, "expected [revision]");
-    return RelayRequest { .after = value[0].get<uint64_t>() };
+    if (!value.is_array() || value.size() != 2 || !value[0].is_number_unsigned() || !value[1].is_number_unsigned())
+        return Base::makeError(ErrorCode::Malformed, "expected [era, revision]");
+    return RelayRequest { .after = { .era = value[0].get<uint64_t>(), .revision = value[1].get<uint64_t>() } };
 }
 
 std::vector<std::byte> encodeBatch(const ChangeBatch& batch)
@@ -66,7 +66,7 @@
         valueBytes += record.value.size();
     }
     const auto header = Peer::writeMsgpack(
-        Json::array({ batch.after, batch.upTo, batch.isComplete, batch.hasMore, std::move(rows) }));
+        Json::array({ batch.era, batch.after, batch.upTo, batch.isComplete, batch.hasMore, std::move(rows) }));
     // Values follow the header unencoded, since a configuration has hundreds of kilobytes.
     std::vector<std::byte> content(headerLengthBytes);
     content.reserve(headerLengthBytes + header.size() + valueBytes);
@@ -89,14 +89,16 @@
     auto values = whole.subspan(headerLengthBytes + headerBytes);
     TRY_ASSIGN(value, Peer::readMsgpack(whole.subspan(headerLengthBytes, headerBytes)));
     const bool isBatch = value.is_array() && value.size() == batchFields && value[0].is_number_unsigned()
-        && value[1].is_number_unsigned() && value[2].is_boolean() && value[3].is_boolean() && value[4].is_array();
+        && value[1].is_number_unsigned() && value[2].is_number_unsigned() && value[3].is_boolean()
+        && value[4].is_boolean() && value[5].is_array();
     if (!isBatch)
-        return Base::makeError(ErrorCode::Malformed, "expected [after, up to, complete, more, records]");
-    ChangeBatch batch { .after = value[0].get<uint64_t>(),
-        .upTo = value[1].get<uint64_t>(),
-        .isComplete = value[2].get<bool>(),
-        .hasMore = value[3].get<bool>() };
-    for (const auto& row : value[4]) {
+        return Base::makeError(ErrorCode::Malformed, "expected [era, after, up to, complete, more, records]");
+    ChangeBatch batch { .era = value[0].get<uint64_t>(),
+        .after = value[1].get<uint64_t>(),
+        .upTo = value[2].get<uint64_t>(),
+        .isComplete = value[3].get<bool>(),
+        .hasMore = value[4].get<bool>() };
+    for (const auto& row : value[5]) {
         TRY_ASSIGN(record, decodeRecord(row, values));
         if (!batch.isComplete && record.revision <= batch.after)
             return Base::makeError(ErrorCode::Malformed, "a record's revision is older than its batch");
--- a/Libraries/LibMirror/RelayMessage.h
+++ b/Libraries/LibMirror/RelayMessage.h
@@ -10,9 +10,9 @@
 
 namespace Mirror {
 
-/// Requests the changes after a revision; 0 if the sender has no state.
+/// Requests the changes after a position; zero if the sender has no state.
 struct RelayRequest {
-    uint64_t after { 0 };
+    Base::StorePosition after;
 };
 
 std::vector<std::byte> encodeRelayRequest(const RelayRequest&);
--- a/Libraries/LibSteering/Process/LoadReport.cpp
+++ b/Libraries/LibSteering/Process/LoadReport.cpp
@@ -17,6 +17,7 @@
     constexpr std::size_t demandsField = 6;
     constexpr std::size_t speedsField = 7;
     constexpr std::size_t restartsField = 8;
+    constexpr std::size_t eraField = 9;
     /// More requests in flight than any server can handle; a report with a larger count is malformed.
     constexpr uint64_t maximumInFlight = 100'000;
 
@@ -57,6 +58,11 @@
             return Base::makeError(ErrorCode::Malformed, "expected the numbers of restarted servers");
         for (const auto& number : restarts)
             report.possiblyRestarted.push_back({ number.get<uint64_t>() });
+        if (value.size() <= eraField)
+            return {};
+        if (!isUnsigned(value[eraField]))
+            return Base::makeError(ErrorCode::Malformed, "expected the store's era");
+        report.position.era = value[eraField].get<uint64_t>();
         return {};
     }
 
@@ -83,11 +89,13 @@
     auto restarts = Json::array();
     for (const auto number : report.possiblyRestarted)
         restarts.push_back(number.value);
-    auto fields
-        = Json::array({ report.sender.value, report.sequence, report.revision, static_cast<uint64_t>(report.store),
+    auto fields = Json::array(
+        { report.sender.value, report.sequence, report.position.revision, static_cast<uint64_t>(report.store),
             std::move(numbers), std::move(counts), std::move(demands), std::move(speeds), std::move(restarts) });
+    if (report.position.era != 0)
+        fields.push_back(report.position.era);
     // Earlier releases reject reports with further fields, and would take this entry VM for silent.
-    while (fields.size() > minimumFieldCount && fields.back().empty())
+    while (fields.size() > minimumFieldCount && fields.back().is_array() && fields.back().empty())
         fields.erase(fields.size() - 1);
     return Peer::writeMsgpack(fields);
 }
@@ -103,7 +111,7 @@
         return Base::makeError(ErrorCode::Malformed, "expected [sender, sequence, revision, store, numbers, counts]");
     LoadReport report { .sender = { value[0].get<uint64_t>() },
         .sequence = value[1].get<uint64_t>(),
-        .revision = value[2].get<uint64_t>(),
+        .position = { .revision = value[2].get<uint64_t>() },
         .store = static_cast<StoreView>(value[3].get<uint64_t>()) };
     for (std::size_t index = 0; index < value[4].size(); ++index) {
         const auto& number = value[4][index];
--- a/Libraries/LibSteering/Process/LoadReport.h
+++ b/Libraries/LibSteering/Process/LoadReport.h
@@ -6,6 +6,7 @@
 #include <LibBase/Error.h>
 #include <LibBase/Hash.h>
 #include <LibBase/Identifiers.h>
+#include <LibBase/StorePosition.h>
 #include <LibBase/Time.h>
 #include <LibSteering/FlowToken.h>
 #include <cstddef>
@@ -58,8 +59,8 @@
     Base::EntryVmId sender;
     /// Increases with each report, also across restarts of the sender.
     uint64_t sequence { 0 };
-    /// The store revision that the sender holds.
-    uint64_t revision { 0 };
+    /// The position of the store up to which the sender holds records.
+    Base::StorePosition position;
     StoreView store { StoreView::NotWatching };
     /// Servers with requests in flight; all others have none.
     std::vector<ServerLoad> loads;
--- a/Libraries/LibSteering/Process/PeerLoads.cpp
+++ b/Libraries/LibSteering/Process/PeerLoads.cpp
@@ -49,7 +49,7 @@
     auto& peer = found->second;
     subtract(peer);
     peer.sequence = report.sequence;
-    peer.revision = report.revision;
+    peer.position = report.position;
     peer.store = report.store;
     peer.lastReportAt = now;
     peer.demands = report.demands;
--- a/Libraries/LibSteering/Process/PeerLoads.h
+++ b/Libraries/LibSteering/Process/PeerLoads.h
@@ -18,7 +18,7 @@
         /// When its record was first seen.
         Base::TimePoint listedAt {};
         uint64_t sequence { 0 };
-        uint64_t revision { 0 };
+        Base::StorePosition position;
         StoreView store { StoreView::NotWatching };
         /// When the last report was received; the epoch if there was none.
         Base::TimePoint lastReportAt {};
--- a/Libraries/LibSteering/Process/RelayChoice.cpp
+++ b/Libraries/LibSteering/Process/RelayChoice.cpp
@@ -21,31 +21,31 @@
 
 }
 
-void RelayChoice::discardOld(Base::TimePoint now, uint64_t ownRevision)
+void RelayChoice::discardOld(Base::TimePoint now, Base::StorePosition own)
 {
     std::erase_if(candidates_, [&](const auto& entry) {
-        return entry.second.revision <= ownRevision || now - entry.second.reportedAt > candidateLifetime;
+        return entry.second.position <= own || now - entry.second.reportedAt > candidateLifetime;
     });
     std::erase_if(failures_, [&](const auto& entry) { return now - entry.second.at > failureLifetime; });
     for (auto& [peer, candidate] : candidates_) {
-        if (candidate.lackedRevision > ownRevision)
+        if (candidate.lackedPosition > own)
             continue;
-        candidate.lackedRevision = candidate.revision;
+        candidate.lackedPosition = candidate.position;
         candidate.lackedSince = now;
     }
 }
 
 bool RelayChoice::handleReport(
-    Base::TimePoint now, Base::EntryVmId peer, uint64_t revision, bool isUrgent, uint64_t ownRevision)
+    Base::TimePoint now, Base::EntryVmId peer, Base::StorePosition position, bool isUrgent, Base::StorePosition own)
 {
-    discardOld(now, ownRevision);
-    if (revision <= ownRevision)
+    discardOld(now, own);
+    if (position <= own)
         return false;
     const auto [found, isNew] = candidates_.try_emplace(
-        peer, Candidate { .isUrgent = isUrgent, .lackedRevision = revision, .lackedSince = now });
+        peer, Candidate { .isUrgent = isUrgent, .lackedPosition = position, .lackedSince = now });
     auto& candidate = found->second;
     const bool isMoreUrgent = isUrgent && !candidate.isUrgent;
-    candidate.revision = std::max(candidate.revision, revision);
+    candidate.position = std::max(candidate.position, position);
     candidate.isUrgent = isUrgent;
     candidate.reportedAt = now;
     return isNew || isMoreUrgent;
@@ -63,11 +63,11 @@
     return std::max<Base::TimePoint>(due, failure->second.at + pause);
 }
 
-std::optional<RelayChoice::Fetch> RelayChoice::next(Base::TimePoint now, uint64_t ownRevision)
+std::optional<RelayChoice::Fetch> RelayChoice::next(Base::TimePoint now, Base::StorePosition own)
 {
-    discardOld(now, ownRevision);
+    discardOld(now, own);
     // Smaller is better: the earliest, one that has not failed, a near one, the newest.
-    using Order = std::tuple<Base::TimePoint, uint32_t, bool, uint64_t>;
+    using Order = std::tuple<Base::TimePoint, uint32_t, bool, uint64_t, uint64_t>;
     std::optional<Fetch> best;
     Order bestOrder;
     uint64_t equals = 0;
@@ -75,7 +75,7 @@
         const auto due = dueAt(peer, candidate);
         const auto failure = failures_.find(peer);
         const Order order { std::max(due, now), failure != failures_.end() ? failure->second.count : 0,
-            !candidate.isUrgent, ~candidate.revision };
+            !candidate.isUrgent, ~candidate.position.era, ~candidate.position.revision };
         if (best && order > bestOrder)
             continue;
         equals = best && order == bestOrder ? equals + 1 : 1;
--- a/Libraries/LibSteering/Process/RelayChoice.h
+++ b/Libraries/LibSteering/Process/RelayChoice.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Identifiers.h>
 #include <LibBase/Random.h>
+#include <LibBase/StorePosition.h>
 #include <LibBase/Time.h>
 #include <optional>
 #include <unordered_map>
@@ -27,22 +28,22 @@
     {
     }
 
-    /// A peer holds the given revision. isUrgent: neither the store nor a nearer peer will send the records, so they
-    /// are fetched without delay. Returns whether the next fetch may have changed.
-    bool handleReport(
-        Base::TimePoint now, Base::EntryVmId peer, uint64_t revision, bool isUrgent, uint64_t ownRevision);
+    /// A peer holds records up to the given position. isUrgent: neither the store nor a nearer peer will send the
+    /// records, so they are fetched without delay. Returns whether the next fetch may have changed.
+    bool handleReport(Base::TimePoint now, Base::EntryVmId peer, Base::StorePosition position, bool isUrgent,
+        Base::StorePosition own);
     /// The next fetch, due now or later; nothing while no peer is known to hold newer records.
-    std::optional<Fetch> next(Base::TimePoint now, uint64_t ownRevision);
+    std::optional<Fetch> next(Base::TimePoint now, Base::StorePosition own);
 
     void handleSuccess(Base::EntryVmId peer) { failures_.erase(peer); }
     void handleFailure(Base::TimePoint now, Base::EntryVmId peer);
 
 private:
     struct Candidate {
-        uint64_t revision { 0 };
+        Base::StorePosition position;
         bool isUrgent { false };
-        /// The revision that was newer than the own one since the given time.
-        uint64_t lackedRevision { 0 };
+        /// The position that was newer than the own one since the given time.
+        Base::StorePosition lackedPosition;
         Base::TimePoint lackedSince {};
         Base::TimePoint reportedAt {};
     };
@@ -51,7 +52,7 @@
         Base::TimePoint at {};
     };
 
-    void discardOld(Base::TimePoint now, uint64_t ownRevision);
+    void discardOld(Base::TimePoint now, Base::StorePosition own);
     Base::TimePoint dueAt(Base::EntryVmId, const Candidate&) const;
 
     Base::Random random_;
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -54,7 +54,7 @@
 void SteeringDecider::apply(Base::TimePoint now, const ConfigurationChanged& event)
 {
     // The version in force never decreases within a process, in whatever order the sources deliver versions.
-    if (configuration_ && event.configuration->revision <= configuration_->revision)
+    if (configuration_ && !event.configuration->isNewerThan(*configuration_))
         return;
     configuration_ = event.configuration;
     routes_.replace(*configuration_, servers_);
--- a/Libraries/LibSteering/Version/Configuration.h
+++ b/Libraries/LibSteering/Version/Configuration.h
@@ -3,11 +3,13 @@
 /// One accepted version of the operators' configuration, in the form that steering decisions use.
 
 #include <LibBase/Ipv4Endpoint.h>
+#include <LibBase/StorePosition.h>
 #include <LibBase/Time.h>
 #include <LibSteering/FlowToken.h>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Steering {
@@ -54,12 +56,19 @@
 
 struct Configuration {
     uint64_t version { 0 };
-    /// The store revision at which it was accepted.
-    uint64_t revision { 0 };
+    /// The store's position at which it was accepted.
+    Base::StorePosition position;
     std::vector<Route> routes;
     std::vector<ServiceProfile> services;
     /// The state of a flow without packets for this long may be removed.
     Base::milliseconds idleTimeout { 0 };
+
+    /// Operators' versions decide, since a store that comes back from a copy may show an earlier configuration for a
+    /// while. It may also give the same version to another one; then the position decides.
+    bool isNewerThan(const Configuration& other) const
+    {
+        return std::tie(version, position) > std::tie(other.version, other.position);
+    }
 };
 
 /// State that a backend server reports.
--- a/Tests/LibMirror/TestMirror.cpp
+++ b/Tests/LibMirror/TestMirror.cpp
@@ -28,7 +28,7 @@
     CHECK_FALSE(mirror.isSynchronized());
     CHECK(mirror.apply({ .upTo = 10, .isComplete = true, .records = { put("a", 3), put("b", 9) } }).size() == 2);
     CHECK(mirror.isSynchronized());
-    CHECK(mirror.revision() == 10);
+    CHECK(mirror.position().revision == 10);
     const auto changed = mirror.apply({ .after = 10, .upTo = 12, .records = { put("a", 11, "y"), deletion("b", 12) } });
     REQUIRE(changed.size() == 2);
     CHECK(changed[0].value == "y");
@@ -43,7 +43,7 @@
     CHECK(mirror.apply({ .upTo = 9, .isComplete = true, .records = { put("c", 2) } }).empty());
     CHECK(mirror.apply({ .after = 5, .upTo = 8, .records = { put("d", 7) } }).empty());
     CHECK(mirror.apply({ .after = 15, .upTo = 18, .records = { put("d", 17) } }).empty());
-    CHECK(mirror.revision() == 10);
+    CHECK(mirror.position().revision == 10);
 }
 
 TEST_CASE("applying a batch twice returns no changes the second time")
@@ -78,10 +78,10 @@
     CHECK_FALSE(changed[0].isDeletion);
     CHECK(changed[1] == deletion(key, 12));
     CHECK(mirror.size() == 1);
-    peer.apply(mirror.changesAfter(peer.revision(), 1000));
+    peer.apply(mirror.changesAfter(peer.position(), 1000));
     CHECK(peer.size() == 1);
     Mirror::Mirror newcomer;
-    newcomer.apply(mirror.changesAfter(0, 1000));
+    newcomer.apply(mirror.changesAfter({}, 1000));
     CHECK(newcomer.size() == 1);
 }
 
@@ -90,7 +90,7 @@
     Mirror::Mirror mirror;
     mirror.apply({ .upTo = 10, .isComplete = true, .records = { put("a", 3) } });
     mirror.apply({ .after = 10, .upTo = 13, .records = { deletion("a", 11), put("a", 12, "y"), put("b", 13) } });
-    const auto all = mirror.changesAfter(0, 1000);
+    const auto all = mirror.changesAfter({}, 1000);
     CHECK(all.records == std::vector<Record> { put("a", 12, "y"), put("b", 13) });
 }
 
@@ -102,7 +102,7 @@
     peer.apply({ .upTo = 11, .isComplete = true, .records = { put("a", 3), put("b", 11) } });
     // A watch that starts late returns the deletion only.
     CHECK(mirror.apply({ .after = 10, .upTo = 12, .records = { deletion("b", 12) } }).empty());
-    peer.apply(mirror.changesAfter(peer.revision(), 1000));
+    peer.apply(mirror.changesAfter(peer.position(), 1000));
     CHECK(peer.size() == 1);
     // A third one that missed the deletion offers its complete state.
     mirror.apply({ .upTo = 12, .isComplete = true, .records = { put("a", 3), put("b", 11) } });
@@ -124,8 +124,8 @@
     for (uint64_t index = 1; index <= deletionCount; ++index)
         deletions.records.push_back(deletion("key" + std::to_string(index), 20 + index));
     mirror.apply(deletions);
-    peer.apply(mirror.changesAfter(peer.revision(), 1'000'000));
-    CHECK(peer.revision() == mirror.revision());
+    peer.apply(mirror.changesAfter(peer.position(), 1'000'000));
+    CHECK(peer.position().revision == mirror.position().revision);
     CHECK(peer.size() == 1);
 }
 
@@ -137,8 +137,8 @@
     peer.apply({ .upTo = 15, .isComplete = true, .records = { put("a", 3), put("b", 14) } });
     // "b" was written at 14 and deleted before 20; the mirror saw neither.
     mirror.apply({ .upTo = 20, .isComplete = true, .records = { put("a", 3) } });
-    peer.apply(mirror.changesAfter(peer.revision(), 1000));
-    CHECK(peer.revision() == 20);
+    peer.apply(mirror.changesAfter(peer.position(), 1000));
+    CHECK(peer.position().revision == 20);
     CHECK(peer.size() == 1);
 }
 
@@ -171,18 +171,20 @@
             if (random.chance(0.1)) {
                 // The requesting mirror may be empty or far behind; 8 bytes a batch split the response into many parts.
                 for (;;) {
-                    const auto part = first.changesAfter(second.isSynchronized() ? second.revision() : 0, 8);
+                    const auto part
+                        = first.changesAfter(second.isSynchronized() ? second.position() : Base::StorePosition {}, 8);
                     second.apply(part);
                     if (!part.hasMore)
                         break;
                 }
-                REQUIRE(second.revision() == first.revision());
+                REQUIRE(second.position().revision == first.position().revision);
                 REQUIRE(second.size() == store.size());
             }
         }
-        const auto all = second.changesAfter(0, 1'000'000);
+        const auto all = second.changesAfter({}, 1'000'000);
         for (const auto& record : all.records) {
-            if (!record.isDeletion && record.revision <= second.revision() && second.revision() == revision)
+            if (!record.isDeletion && record.revision <= second.position().revision
+                && second.position().revision == revision)
                 REQUIRE(store.at(record.key) == record);
         }
     }
@@ -190,7 +192,8 @@
 
 TEST_CASE("batches and relay requests survive encoding and decoding")
 {
-    const ChangeBatch batch { .after = 3,
+    const ChangeBatch batch { .era = 4,
+        .after = 3,
         .upTo = 9,
         .isComplete = false,
         .hasMore = true,
@@ -199,12 +202,14 @@
     REQUIRE(read.isOk());
     CHECK(read.value->records == batch.records);
     CHECK(read.value->hasMore);
+    CHECK(read.value->era == 4);
     CHECK(read.value->after == 3);
     CHECK(read.value->upTo == 9);
-    const auto request
-        = Base::capture([&] { return Mirror::decodeRelayRequest(Mirror::encodeRelayRequest({ .after = 12 })); });
+    const auto request = Base::capture([&] {
+        return Mirror::decodeRelayRequest(Mirror::encodeRelayRequest({ .after = { .era = 4, .revision = 12 } }));
+    });
     REQUIRE(request.isOk());
-    CHECK(request.value->after == 12);
+    CHECK(request.value->after == Base::StorePosition { .era = 4, .revision = 12 });
 }
 
 TEST_CASE("decoding corrupted messages fails cleanly or succeeds")
--- a/Tests/LibSteering/Fixture.h
+++ b/Tests/LibSteering/Fixture.h
@@ -61,7 +61,7 @@
     {
         auto configuration = std::make_shared<Steering::Configuration>();
         configuration->version = revision;
-        configuration->revision = revision;
+        configuration->position.revision = revision;
         for (const auto port : ports) {
             configuration->routes.push_back({ .name = "route",
                 .endpoint = service(port),
--- a/Tests/LibSteering/OverloadCluster.cpp
+++ b/Tests/LibSteering/OverloadCluster.cpp
@@ -31,7 +31,7 @@
 {
     auto configuration = std::make_shared<Steering::Configuration>();
     configuration->version = 1;
-    configuration->revision = 1;
+    configuration->position.revision = 1;
     for (std::size_t index = 0; index < classes_.size(); ++index) {
         const auto port = static_cast<uint16_t>(firstServicePort + index);
         configuration->routes.push_back({ .name = "route",
--- a/Tests/LibSteering/SimulatedEntryVms.h
+++ b/Tests/LibSteering/SimulatedEntryVms.h
@@ -237,10 +237,10 @@
             return;
         auto& peer = to.peers[from.id];
         peer.store = from.view;
-        peer.revision = from.revision;
+        peer.position = { .revision = from.revision };
         peer.lastReportAt = now_;
         const bool isUrgent = from.domain == to.domain && to.view != Steering::StoreView::Responding;
-        to.relay.handleReport(now_, from.id, from.revision, isUrgent, to.revision);
+        to.relay.handleReport(now_, from.id, { .revision = from.revision }, isUrgent, { .revision = to.revision });
         // The report wakes the packet thread.
         to.nextCheck = std::min(to.nextCheck, now_ + tick);
     }
@@ -260,7 +260,7 @@
                 setRevision(node, find(peer).revision);
             }
         }
-        const auto next = node.relay.next(now_, node.revision);
+        const auto next = node.relay.next(now_, { .revision = node.revision });
         if (!next || next->dueAt > now_)
             return;
         ++node.fetches;
--- a/Tests/LibSteering/TestAdmission.cpp
+++ b/Tests/LibSteering/TestAdmission.cpp
@@ -17,7 +17,7 @@
     {
         auto configuration = std::make_shared<Steering::Configuration>();
         configuration->version = 10;
-        configuration->revision = 10;
+        configuration->position.revision = 10;
         for (const auto port : { usualPort, importantPort }) {
             configuration->routes.push_back({ .name = "route",
                 .endpoint = service(port),
--- a/Tests/LibSteering/TestLoadReport.cpp
+++ b/Tests/LibSteering/TestLoadReport.cpp
@@ -8,7 +8,7 @@
 {
     const Steering::LoadReport report { .sender = { 77 },
         .sequence = 1'700'000'000'000'000,
-        .revision = 42,
+        .position = { .era = 3, .revision = 42 },
         .store = Steering::StoreView::Overdue,
         .loads = { { .number = { 0xFFFFFFFFFFFFFFFF }, .inFlight = 3 }, { .number = { 5 }, .inFlight = 1 } },
         .demands = { { .service = Steering::ServiceKey::of("rota"), .requests = 12 } },
@@ -19,7 +19,7 @@
     REQUIRE(read.isOk());
     CHECK(read.value->sender == report.sender);
     CHECK(read.value->sequence == report.sequence);
-    CHECK(read.value->revision == report.revision);
+    CHECK(read.value->position == report.position);
     CHECK(read.value->store == Steering::StoreView::Overdue);
     REQUIRE(read.value->loads.size() == 2);
     CHECK(read.value->loads[0].number == report.loads[0].number);
@@ -48,7 +48,7 @@
 {
     const Steering::LoadReport report { .sender = { 77 },
         .sequence = 9,
-        .revision = 42,
+        .position = { .revision = 42 },
         .store = Steering::StoreView::Responding,
         .loads = { { .number = { 5 }, .inFlight = 3 } } };
     const auto earlier = Peer::writeMsgpack(
@@ -79,7 +79,7 @@
     Base::Random random(3);
     const auto bytes = Steering::encodeLoadReport({ .sender = { 77 },
         .sequence = 9,
-        .revision = 1,
+        .position = { .era = 2, .revision = 1 },
         .loads = { { .number = { 5 }, .inFlight = 1 } },
         .demands = { { .service = { 4 }, .requests = 2 } },
         .speeds = { { .number = { 5 }, .relativeThousandths = 1600 } },
--- a/Tests/LibSteering/TestRestartSuspicion.cpp
+++ b/Tests/LibSteering/TestRestartSuspicion.cpp
@@ -313,7 +313,7 @@
 
 TEST_CASE_METHOD(RestartSuspicionFixture, "servers of a service without a warm-up time are never cold")
 {
-    Steering::Configuration configuration { .version = 11, .revision = 11 };
+    Steering::Configuration configuration { .version = 11, .position = { .revision = 11 } };
     configuration.routes.push_back(
         { .name = "route", .endpoint = service(443), .shares = { { .service = "rota", .weight = 1 } } });
     configuration.services.push_back({ .name = "rota" });
--- a/Tests/LibSteering/TestShares.cpp
+++ b/Tests/LibSteering/TestShares.cpp
@@ -16,7 +16,7 @@
     {
         auto configuration = std::make_shared<Steering::Configuration>();
         configuration->version = ++revision_;
-        configuration->revision = revision_;
+        configuration->position.revision = revision_;
         configuration->routes.push_back({ .name = "route", .endpoint = service(443), .shares = shares });
         for (const std::string name : { "large", "small", "third" })
             configuration->services.push_back({ .name = name, .warmUp = milliseconds(2000) });
--- a/Tests/LibSteering/TestStalledFlows.cpp
+++ b/Tests/LibSteering/TestStalledFlows.cpp
@@ -45,7 +45,7 @@
 
     void configureServices(const std::vector<std::string>& names, uint64_t revision = 11)
     {
-        Steering::Configuration configuration { .version = revision, .revision = revision };
+        Steering::Configuration configuration { .version = revision, .position = { .revision = revision } };
         configuration.routes.push_back(
             { .name = "route", .endpoint = service(443), .shares = { { .service = "rota", .weight = 1 } } });
         for (const auto& name : names)
--- a/Tests/Platform/TestRecordDecoder.cpp
+++ b/Tests/Platform/TestRecordDecoder.cpp
@@ -81,7 +81,7 @@
     REQUIRE(event);
     const auto& configuration = *event->configuration;
     CHECK(configuration.version == 7);
-    CHECK(configuration.revision == 30);
+    CHECK(configuration.position.revision == 30);
     REQUIRE(configuration.routes.size() == 2);
     CHECK(configuration.routes[0].endpoint.toString() == "198.18.0.1:8443");
     REQUIRE(configuration.routes[0].shares.size() == 2);
--- a/Tests/RestoredStore/TestRestoredStore.cpp
+++ b/Tests/RestoredStore/TestRestoredStore.cpp
@@ -22,11 +22,13 @@
     {
     }
 
-    /// The store goes away, and comes back from the copy that was kept last.
+    /// The store goes away, which counts as a disturbance, and comes back from the copy that was kept last.
     void restoreStore()
     {
         deployment().setStoreFault({ .resetsConnections = true });
+        invariants().markAllDisturbed(deployment().loop().now());
         runFor(outage);
+        invariants().markAllDisturbed(deployment().loop().now());
         deployment().records().restoreCopy();
         deployment().setStoreFault({});
     }
@@ -85,6 +87,8 @@
     deployment.removeRoute(extraPort);
     REQUIRE(deployment.records().revision() == revision);
     CHECK(fleet.runUntil(conditionTimeout, [&] { return fleet.isConfigurationInForce(); }));
+    for (const auto& violation : fleet.invariants().violations())
+        UNSCOPED_INFO(violation);
     CHECK(fleet.invariants().violations().empty());
     CHECK(deployment.unexpectedExits().empty());
 }
