LibSteering: Hold back what a store's copy says against what is known

What callers would have seen: after the store's return, first packets to a draining server, to one that is gone, and to a failure domain that operators had evacuated; shares of limits that grow while entry VMs are unlisted. The copy's content was applied as if it had just been written. Cause: a copy is older than what this node knows, but nothing told its content from news. Change: RestoredRecords. Servers whose entries the copy lacks stay usable for the grace period of an outage, also on entry VMs that did not notice the outage.

--- a/Libraries/LibEntry/StateFeed.cpp
+++ b/Libraries/LibEntry/StateFeed.cpp
@@ -66,6 +66,7 @@
         Log::write(Events::peerUnlisted, Fields().add("peer", event.peer.endpoint().toString()).add("source", source));
     }
 
+    void logEvent(const Steering::StoreRestored&, std::string_view) { }
     void logEvent(const Steering::StateSynchronized&, std::string_view) { }
     void logEvent(const Steering::StoreReachable&, std::string_view) { }
 
@@ -152,6 +153,7 @@
     const auto previous = mirror_.position();
     const bool isRestored = wasSynchronized && batch.era > previous.era;
     if (isRestored) {
+        push(Steering::StoreRestored {});
         Log::write(Events::storeEraChanged,
             Fields()
                 .add("from", previous.era)
@@ -164,8 +166,9 @@
     for (const auto& record : mirror_.apply(batch))
         applyRecord(record, batch.era, recordSource);
     const bool isFirst = !wasSynchronized && mirror_.isSynchronized();
-    if (isFirst) {
+    if (isFirst || isRestored)
         push(Steering::StateSynchronized {});
+    if (isFirst) {
         Log::write(Events::stateSynchronized,
             Fields()
                 .add("era", batch.era)
--- a/Libraries/LibSteering/Events.h
+++ b/Libraries/LibSteering/Events.h
@@ -33,6 +33,8 @@
 struct DomainEvacuation {
     std::string failureDomain;
     bool isEvacuated { false };
+    /// The store revision at which the evacuation was written; zero for its end.
+    uint64_t revision { 0 };
 };
 
 /// Another entry VM registered.
@@ -49,7 +51,11 @@
     Base::EntryVmId peer;
 };
 
-/// All records of the store have been delivered once.
+/// The store came back from a copy, which may lack what was written to it last. The events up to the next
+/// StateSynchronized are what the copy changes.
+struct StoreRestored { };
+
+/// All records of the store, or of a copy to which it came back, have been delivered.
 struct StateSynchronized { };
 
 /// The store responds to this node, or no longer does.
@@ -58,7 +64,7 @@
 };
 
 using StateEvent = std::variant<ConfigurationChanged, ServerListed, ServerUnlisted, DomainEvacuation, PeerListed,
-    PeerUnlisted, StateSynchronized, StoreReachable>;
+    PeerUnlisted, StoreRestored, StateSynchronized, StoreReachable>;
 
 /// Bytes of a first packet, kept for a hedged connection attempt at another backend server.
 using FirstPacketBytes = std::array<std::byte, 32>;
--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -225,11 +225,24 @@
     if (isReachable == storeReachable_)
         return;
     storeReachable_ = isReachable;
-    if (!isReachable)
-        return;
+    if (isReachable)
+        beginRemovalGrace(now);
+}
+
+bool ServerTable::isOutdated(const BackendServerEntry& entry) const
+{
+    const auto index = find(entry.number);
+    if (!index)
+        return false;
+    const auto& known = servers_[*index];
+    return entry.isOlderThan(known.entry) || (known.presence == Presence::Retired && !known.entry.isOlderThan(entry));
+}
+
+void ServerTable::beginRemovalGrace(Base::TimePoint now)
+{
     removalGraceEndsAt_ = now + options_.removalGracePeriod;
     for (auto& server : servers_) {
-        if (server.presence == Presence::Unconfirmed)
+        if (server.presence == Presence::Unconfirmed && storeReachable_)
             server.presenceEndsAt = removalGraceEndsAt_;
     }
 }
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -120,6 +120,8 @@
 
     /// Adds or updates a server. Returns true if a new process runs under a known number.
     bool addOrUpdate(Base::TimePoint now, const BackendServerEntry&, Base::milliseconds serviceWarmUp);
+    /// Whether the entry was written before what is known of its server, or by one that has gone since.
+    bool isOutdated(const BackendServerEntry&) const;
     /// Handles the removal of a server's entry. Returns the new presence, or Free if the server is unknown.
     Presence removeEntry(Base::TimePoint now, BackendServerNumber);
     void setStoreReachable(Base::TimePoint now, bool isReachable);
@@ -146,6 +148,8 @@
     std::optional<ServerIndex> find(BackendServerNumber) const;
     /// The server that a confirmed token identifies, preferring those of the given services.
     std::optional<ServerIndex> resolve(FlowToken, const std::vector<ServiceIndex>& services) const;
+    /// The store lost entries that running servers write again: servers stay usable without one for a while.
+    void beginRemovalGrace(Base::TimePoint now);
     std::size_t size() const { return byNumber_.size(); }
     /// Calls function(index, server) for each server.
     template <typename Function>
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -19,6 +19,7 @@
 SteeringDecider::SteeringDecider(const Options& options)
     : options_(options)
     , servers_({ .retention = options.flowLifetime })
+    , restoredRecords_({ .isOutdated = [this](const BackendServerEntry& entry) { return servers_.isOutdated(entry); } })
     , allowance_({ .self = options.self, .overshoot = options.warmUpOvershoot, .slack = options.warmUpSlack })
     , peerLoads_(servers_)
     , presence_({ .self = options.self, .failureDomain = options.failureDomain })
@@ -48,7 +49,8 @@
 
 void SteeringDecider::handle(Base::TimePoint now, const StateEvent& event)
 {
-    std::visit([&](const auto& typed) { apply(now, typed); }, event);
+    if (!restoredRecords_.tryHoldBack(event))
+        std::visit([&](const auto& typed) { apply(now, typed); }, event);
 }
 
 void SteeringDecider::apply(Base::TimePoint now, const ConfigurationChanged& event)
@@ -115,8 +117,15 @@
     isTopologyOutdated_ = true;
 }
 
+void SteeringDecider::apply(Base::TimePoint now, const StoreRestored&)
+{
+    restoredRecords_.beginCopy(now);
+    servers_.beginRemovalGrace(now);
+}
+
 void SteeringDecider::apply(Base::TimePoint now, const StateSynchronized&)
 {
+    restoredRecords_.endCopy();
     isSynchronized_ = true;
     updateReadiness(now);
 }
@@ -376,6 +385,8 @@
     nextExpiry_ = now + expiryInterval;
     flows_.runDueChecks(
         now, [&](const Packet::FlowKey& flow, FlowRecord& record) { return checkRecord(now, flow, record); });
+    for (const auto& event : restoredRecords_.takeDue(now))
+        std::visit([&](const auto& typed) { apply(now, typed); }, event);
     responseQuality_.expire(now);
     serviceTimes_.update(now);
     servers_.expire(now);
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -16,6 +16,7 @@
 #include <LibSteering/Process/Readiness.h>
 #include <LibSteering/Process/ResponseQuality.h>
 #include <LibSteering/Process/RestartSuspicion.h>
+#include <LibSteering/Process/RestoredRecords.h>
 #include <LibSteering/Process/ServerTable.h>
 #include <LibSteering/Process/ServiceTimes.h>
 #include <LibSteering/Process/WarmUpAllowance.h>
@@ -148,6 +149,7 @@
     void apply(Base::TimePoint now, const DomainEvacuation&);
     void apply(Base::TimePoint now, const PeerListed&);
     void apply(Base::TimePoint now, const PeerUnlisted&);
+    void apply(Base::TimePoint now, const StoreRestored&);
     void apply(Base::TimePoint now, const StateSynchronized&);
     void apply(Base::TimePoint now, const StoreReachable&);
     void updateReadiness(Base::TimePoint now);
@@ -198,6 +200,7 @@
 
     Options options_;
     ServerTable servers_;
+    RestoredRecords restoredRecords_;
     DomainReachability reachability_;
     WarmUpAllowance allowance_;
     PeerLoads peerLoads_;
--- a/Libraries/LibSteering/Version/Configuration.h
+++ b/Libraries/LibSteering/Version/Configuration.h
@@ -92,6 +92,14 @@
     Base::milliseconds startedAt { 0 };
     /// The store revision at which the entry was written.
     uint64_t revision { 0 };
+    /// The server's own count of its writes since its start.
+    uint64_t sequence { 0 };
+
+    /// Whether the server wrote the other entry later.
+    bool isOlderThan(const BackendServerEntry& other) const
+    {
+        return std::tie(startedAt, sequence) < std::tie(other.startedAt, other.sequence);
+    }
 };
 
 }
