LibEntry: Register again under a new lease when the store's era rises

What callers would have seen: an entry VM that peers no longer list gets no load reports, so that servers are loaded beyond their room; renewals of a lease that the store has given to another one kept that unseen. Cause: the lease and the record were taken for granted until a renewal failed, up to a third of the lease later, and never if the lease's id had been given out again. Change: the registration remembers the era of its lease. A higher one, in an answer or in records from a peer, leads to a new lease and record within a second, spread over the entry VMs. An outdated lease is not ended at a stop.

--- a/Libraries/LibEntry/EntryDaemon.cpp
+++ b/Libraries/LibEntry/EntryDaemon.cpp
@@ -45,7 +45,8 @@
     : settings_(settings)
     , feed_({ .wake = [this] { packets_->wake(); },
           .self = settings.identity(),
-          .onOwnRecordRemoved = [this] { registration_.scheduleRecordRewrite(); } })
+          .onOwnRecordRemoved = [this] { registration_.scheduleRecordRewrite(); },
+          .onStoreEra = [this](uint64_t era) { registration_.handleStoreEra(era); } })
     , catchUp_(settings, feed_)
     , store_(settings, feed_, catchUp_, storeCounters_)
     , registration_(settings, storeCounters_)
--- a/Libraries/LibEntry/RegistrationThread.cpp
+++ b/Libraries/LibEntry/RegistrationThread.cpp
@@ -11,6 +11,8 @@
     /// Three renewals per lease lifetime, so that two may fail without losing the lease.
     constexpr int renewalsPerLease = 3;
     constexpr Base::milliseconds failureRetryInterval { 1000 };
+    /// All entry VMs register again after the store's return, within this time.
+    constexpr uint64_t renewedRegistrationSpreadMilliseconds = 1000;
 
     void logFailure(StoreCall call, Platform::StoreOutcome outcome, const std::string& detail)
     {
@@ -27,6 +29,7 @@
     : settings_(settings)
     , counters_(counters)
     , client_({ .store = settings.store.endpoint, .timeout = settings.store.callTimeout })
+    , random_(Base::hashText(settings.name))
 {
 }
 
@@ -41,6 +44,29 @@
     worker_.wake();
 }
 
+bool RegistrationThread::raiseStoreEra(uint64_t era)
+{
+    auto known = storeEra_.load();
+    while (era > known) {
+        if (storeEra_.compare_exchange_weak(known, era))
+            return true;
+    }
+    return false;
+}
+
+void RegistrationThread::handleStoreEra(uint64_t era)
+{
+    if (raiseStoreEra(era))
+        worker_.wake();
+}
+
+template <typename T>
+void RegistrationThread::recordResponse(StoreCall call, const Platform::StoreResponse<T>& response)
+{
+    counters_.count(call, response);
+    raiseStoreEra(response.era);
+}
+
 void RegistrationThread::run()
 {
     while (!worker_.isStopping())
@@ -50,14 +76,15 @@
 bool RegistrationThread::registerWithNewLease()
 {
     const auto lease = client_.grantLease(settings_.store.leaseDuration);
-    counters_.count(StoreCall::Lease, lease);
+    recordResponse(StoreCall::Lease, lease);
+    leaseEra_ = storeEra_.load();
     if (!lease.isOk()) {
         logFailure(StoreCall::Lease, lease.outcome, lease.detail);
         return false;
     }
     lease_ = lease.value.id;
     isRecordMissing_.store(false);
-    if (writeRecord())
+    if (writeRecord() && !isLeaseOutdated())
         return true;
     lease_ = 0;
     return false;
@@ -74,7 +101,7 @@
         .value = Platform::encodeEntryVm(record),
         .lease = lease_,
         .expectedRevision = std::nullopt });
-    counters_.count(StoreCall::Put, put);
+    recordResponse(StoreCall::Put, put);
     if (!put.isOk()) {
         logFailure(StoreCall::Put, put.outcome, put.detail);
         return false;
@@ -88,13 +115,19 @@
     const auto renewalInterval = settings_.store.leaseDuration / renewalsPerLease;
     if (lease_ == 0)
         return registerWithNewLease() ? renewalInterval : failureRetryInterval;
+    if (isLeaseOutdated()) {
+        lease_ = 0;
+        return Base::milliseconds(static_cast<int64_t>(random_.below(renewedRegistrationSpreadMilliseconds)));
+    }
     // The store may drop the record while the lease lives on; then renewals succeed and do not show it.
     if (isRecordMissing_.exchange(false) && !writeRecord()) {
         lease_ = 0;
         return failureRetryInterval;
     }
     const auto renewed = client_.renewLease(lease_);
-    counters_.count(StoreCall::Renew, renewed);
+    recordResponse(StoreCall::Renew, renewed);
+    if (isLeaseOutdated())
+        return Base::milliseconds(0);
     if (renewed.isOk())
         return renewalInterval;
     logFailure(StoreCall::Renew, renewed.outcome, renewed.detail);
@@ -107,10 +140,11 @@
 void RegistrationThread::stop()
 {
     worker_.stop();
-    if (lease_ == 0)
+    // An outdated lease may be another entry VM's by now.
+    if (lease_ == 0 || isLeaseOutdated())
         return;
     const auto ended = client_.endLease(lease_);
-    counters_.count(StoreCall::Lease, ended);
+    recordResponse(StoreCall::Lease, ended);
     if (!ended.isOk())
         logFailure(StoreCall::Lease, ended.outcome, ended.detail);
 }
--- a/Libraries/LibEntry/RegistrationThread.h
+++ b/Libraries/LibEntry/RegistrationThread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibBase/Random.h>
 #include <LibEntry/EntrySettings.h>
 #include <LibEntry/StateFeed.h>
 #include <LibEntry/StoreCounters.h>
@@ -16,6 +17,9 @@
     void requestStop() { worker_.requestStop(); }
     /// Called when this entry VM's record was removed, although its lease may still be valid. Any thread.
     void scheduleRecordRewrite();
+    /// Called when records of a new era were received. The store may have lost the record, or given its lease to
+    /// another entry VM. Any thread.
+    void handleStoreEra(uint64_t era);
     /// Revokes the lease, so that peers see a planned stop immediately.
     void stop();
 
@@ -23,6 +27,12 @@
     void run();
     /// Returns the time until the next call.
     Base::milliseconds step();
+    /// Whether the lease was granted before the store came back from a copy.
+    bool isLeaseOutdated() const { return lease_ != 0 && storeEra_.load() > leaseEra_; }
+    /// Returns whether the era is higher than the known one.
+    bool raiseStoreEra(uint64_t era);
+    template <typename T>
+    void recordResponse(StoreCall, const Platform::StoreResponse<T>&);
     bool registerWithNewLease();
     /// Writes the record under the current lease.
     bool writeRecord();
@@ -31,6 +41,11 @@
     StoreCounters& counters_;
     Platform::StoreClient client_;
     Platform::LeaseId lease_ { 0 };
+    /// The store's era when the lease was granted.
+    uint64_t leaseEra_ { 0 };
+    /// The highest era that is known.
+    std::atomic<uint64_t> storeEra_ { 0 };
+    Base::Random random_;
     std::atomic<bool> isRecordMissing_ { false };
     Worker worker_;
 };
--- a/Libraries/LibEntry/StateFeed.cpp
+++ b/Libraries/LibEntry/StateFeed.cpp
@@ -151,6 +151,8 @@
     }
     const bool wasSynchronized = mirror_.isSynchronized();
     const auto previous = mirror_.position();
+    if (batch.era > previous.era && options_.onStoreEra)
+        options_.onStoreEra(batch.era);
     const bool isRestored = wasSynchronized && batch.era > previous.era;
     if (isRestored) {
         push(Steering::StoreRestored {});
--- a/Libraries/LibEntry/StateFeed.h
+++ b/Libraries/LibEntry/StateFeed.h
@@ -24,6 +24,8 @@
         Base::EntryVmId self;
         /// Called on any thread when this entry VM's own record was removed from the store. May be empty.
         std::function<void()> onOwnRecordRemoved;
+        /// Called on any thread when records of a new era were received. May be empty.
+        std::function<void(uint64_t era)> onStoreEra {};
     };
 
     explicit StateFeed(Options);
