--- a/StandIns/LibFleet/StoreServer.cpp
+++ b/StandIns/LibFleet/StoreServer.cpp
@@ -237,8 +237,10 @@
 void StoreServer::respond(int socket, unsigned status, const Json& body)
 {
     const auto text = body.dump();
-    const auto message = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nStore-Era: "
-        + std::to_string(records_.era()) + "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+    const auto era = fault_.statedEra.value_or(std::to_string(records_.era()));
+    const auto message = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\n"
+        + (era.empty() ? "" : "Store-Era: " + era + "\r\n") + "Content-Length: " + std::to_string(text.size())
+        + "\r\n\r\n" + text;
     loop_.after(std::max(minimumResponseDelay, fault_.delay), [this, socket, message] {
         if (!connections_.contains(socket))
             return;
--- a/StandIns/LibFleet/StoreServer.h
+++ b/StandIns/LibFleet/StoreServer.h
@@ -5,6 +5,7 @@
 #include <LibBase/Random.h>
 #include <LibFleet/RecordStore.h>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace StandIn {
 
@@ -18,6 +19,8 @@
     bool resetsConnections { false };
     /// Executes writes and lease grants, but does not respond to them.
     bool dropsWriteResponses { false };
+    /// Stated in place of the era; if empty, no era is stated.
+    std::optional<std::string> statedEra {};
     /// Delay of each response.
     Base::milliseconds delay { 0 };
 };
--- a/StandIns/Soak/FaultInjector.cpp
+++ b/StandIns/Soak/FaultInjector.cpp
@@ -23,6 +23,10 @@
     /// reproducible.
     constexpr uint64_t allKindsSeedThreshold = 1000;
     constexpr std::size_t originalKindCount = 21;
+    /// The same for the kinds of fault without a store that comes back from a copy.
+    constexpr uint64_t restoredStoreSeedThreshold = 2000;
+    constexpr milliseconds restoreOutage { 500 };
+    constexpr uint64_t rewriteSpreadMilliseconds = 1900;
 
 }
 
@@ -54,9 +58,14 @@
         Kind { "evacuate a zone", &FaultInjector::evacuateZone },
         Kind { "change routes", &FaultInjector::changeRoutes },
         Kind { "rewrite the configuration repeatedly", &FaultInjector::rewriteConfiguration },
-        Kind { "store removes entry VM records", &FaultInjector::removeEntryVmRecords } };
-    static_assert(kinds.size() == originalKindCount + 1);
-    const auto kindCount = deployment_.seed() < allKindsSeedThreshold ? originalKindCount : kinds.size();
+        Kind { "store removes entry VM records", &FaultInjector::removeEntryVmRecords },
+        Kind { "store comes back from a copy", &FaultInjector::restoreStoreCopy } };
+    static_assert(kinds.size() == originalKindCount + 2);
+    auto kindCount = kinds.size();
+    if (deployment_.seed() < allKindsSeedThreshold)
+        kindCount = originalKindCount;
+    else if (deployment_.seed() < restoredStoreSeedThreshold)
+        kindCount = originalKindCount + 1;
     auto& random = deployment_.random();
     for (auto at = begin; at < end;) {
         const auto& kind = kinds[random.below(kindCount)];
@@ -192,6 +201,44 @@
     repeatFor(duration, [this] { deployment_.invariants().markAllDisturbed(deployment_.loop().now()); });
 }
 
+void FaultInjector::restoreStoreCopy(milliseconds duration)
+{
+    if (isCopyKept_)
+        return;
+    isCopyKept_ = true;
+    deployment_.records().keepCopy();
+    after(duration, [this] {
+        injectStoreFault(restoreOutage, { .resetsConnections = true });
+        after(restoreOutage, [this] {
+            deployment_.records().restoreCopy();
+            isCopyKept_ = false;
+            rewriteLostRecords();
+        });
+    });
+}
+
+void FaultInjector::rewriteLostRecords()
+{
+    repeatFor(milliseconds(rewriteSpreadMilliseconds),
+        [this] { deployment_.invariants().markAllDisturbed(deployment_.loop().now()); });
+    auto& records = deployment_.records();
+    deployment_.rewriteConfiguration();
+    for (const auto& zone : deployment_.zones()) {
+        if (zone != evacuatedZone_)
+            records.remove("op/evacuate/" + zone);
+    }
+    if (evacuatedZone_)
+        records.put("op/evacuate/" + *evacuatedZone_, "{}");
+    for (const auto& server : deployment_.servers()) {
+        after(milliseconds(deployment_.random().below(rewriteSpreadMilliseconds)), [server = server.get()] {
+            if (server->isAlive())
+                server->rewriteEntry();
+        });
+        if (!server->isAlive())
+            after(heartbeatTimeout, [server = server.get()] { server->removeEntry(); });
+    }
+}
+
 void FaultInjector::blockPeerLinks(milliseconds duration)
 {
     const auto index = randomEntryVm();
@@ -295,7 +342,7 @@
         for (const auto* server : expired)
             server->removeEntry();
     });
-    for (const auto* server : expired) {
+    for (auto* server : expired) {
         const auto returnDelay = duration + milliseconds(deployment_.random().below(1900));
         after(returnDelay, [server] {
             if (server->isAlive())
@@ -311,9 +358,11 @@
     isEvacuating_ = true;
     const auto zone = randomZone();
     deployment_.records().put("op/evacuate/" + zone, "{}");
+    evacuatedZone_ = zone;
     deployment_.invariants().recordEvacuation(deployment_.loop().now(), zone);
     after(duration + milliseconds(2000), [this, zone] {
         deployment_.records().remove("op/evacuate/" + zone);
+        evacuatedZone_.reset();
         deployment_.invariants().recordEvacuationEnd(zone);
         isEvacuating_ = false;
     });
--- a/StandIns/Soak/FaultInjector.h
+++ b/StandIns/Soak/FaultInjector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibFleet/Deployment.h>
+#include <optional>
 
 namespace StandIn {
 
@@ -34,6 +35,7 @@
     void slowStore(Base::milliseconds);
     void dropStoreHistory(Base::milliseconds);
     void removeEntryVmRecords(Base::milliseconds);
+    void restoreStoreCopy(Base::milliseconds);
     void blockPeerLinks(Base::milliseconds);
     void delayPeerLinks(Base::milliseconds);
     void resetPeerLinks(Base::milliseconds);
@@ -53,11 +55,16 @@
     FleetServer* randomServer(const std::string& service);
     const std::string& randomZone();
     void injectStoreFault(Base::milliseconds duration, const StoreFault&);
+    /// Operators and backend servers write again, and remove again, what a store that came back from a copy lost.
+    void rewriteLostRecords();
 
     Deployment& deployment_;
     std::vector<std::string> schedule_;
     uint16_t nextRoutePort_ { 9000 };
     bool isEvacuating_ { false };
+    /// The zone whose evacuation is in the store.
+    std::optional<std::string> evacuatedZone_;
+    bool isCopyKept_ { false };
 };
 
 }
--- a/Tests/RestoredStore/TestRestoredStore.cpp
+++ b/Tests/RestoredStore/TestRestoredStore.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds conditionTimeout { 10'000 };
 constexpr milliseconds outage { 500 };
 constexpr uint16_t extraPort = 9100;
+/// Entry VMs pause at least as long between failed calls to the store.
+constexpr milliseconds shortestPause { 100 };
+constexpr milliseconds observed { 3000 };
 
 class RestoredFleet : public SimulatedFleet {
 public:
@@ -114,8 +117,6 @@
 // Guards against a loop of calls while the restored store's revision is behind the one that entry VMs know.
 TEST_CASE("entry VMs do not call a restored store without pause while its revision is low")
 {
-    constexpr milliseconds shortestPause { 100 };
-    constexpr milliseconds observed { 3000 };
     RestoredFleet fleet(14);
     auto& deployment = fleet.deployment();
     deployment.records().keepCopy();
@@ -158,3 +159,35 @@
     CHECK(fleet.runUntil(conditionTimeout, areRegisteredAgain));
     CHECK(deployment.unexpectedExits().empty());
 }
+
+TEST_CASE("a store that states no era, or none that can be read, is followed")
+{
+    const std::string statedEra = GENERATE("", "x", "-1", "1.5", "18446744073709551616");
+    CAPTURE(statedEra);
+    RestoredFleet fleet(16);
+    auto& deployment = fleet.deployment();
+    deployment.setStoreFault({ .statedEra = statedEra });
+    deployment.writeConfiguration();
+    CHECK(fleet.runUntil(conditionTimeout, [&] { return fleet.isConfigurationInForce(); }));
+    CHECK(deployment.unexpectedExits().empty());
+}
+
+// Guards against a late answer of the store from before its return.
+TEST_CASE("answers that state an earlier era change nothing")
+{
+    RestoredFleet fleet(17);
+    auto& deployment = fleet.deployment();
+    deployment.records().keepCopy();
+    fleet.restoreStore();
+    deployment.writeConfiguration();
+    REQUIRE(fleet.runUntil(conditionTimeout, [&] { return fleet.isConfigurationInForce(); }));
+    deployment.setStoreFault({ .statedEra = "1" });
+    deployment.writeConfiguration();
+    const auto callsBefore = fleet.callCount();
+    fleet.runFor(observed);
+    CHECK_FALSE(fleet.isConfigurationInForce());
+    CHECK(fleet.callCount() - callsBefore <= deployment.entryVmCount() * (observed / shortestPause));
+    deployment.setStoreFault({});
+    CHECK(fleet.runUntil(conditionTimeout, [&] { return fleet.isConfigurationInForce(); }));
+    CHECK(deployment.unexpectedExits().empty());
+}
