LibEntry: Pause if the store answers watches and reads in different eras

Cause: a watch answered in a higher era leads to a complete read; if that is answered in the known era, both calls succeed and are repeated without a pause. Change: a complete state of an earlier era than that of the last watch counts as a failed call.

--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -159,7 +159,8 @@
     const auto snapshot = std::move(*partialSnapshot_);
     partialSnapshot_.reset();
     const auto known = feed_.position();
-    if (!feed_.apply(snapshot, "store") && feed_.position() == known) {
+    const bool isOutdated = snapshot.era < watchedEra_;
+    if (isOutdated || (!feed_.apply(snapshot, "store") && feed_.position() == known)) {
         handleCallFailure(Platform::StoreOutcome::HistoryGone, "the store's state is older than the known one");
         return false;
     }
@@ -218,6 +219,7 @@
     handleCallSuccess();
     if (response.value.era > knownEra) {
         // The changes follow on a revision that the store has given out again.
+        watchedEra_ = response.value.era;
         isHistoryGone_ = true;
         return true;
     }
--- a/Libraries/LibEntry/StoreThread.h
+++ b/Libraries/LibEntry/StoreThread.h
@@ -67,6 +67,8 @@
     Steering::StoreResponsiveness responsiveness_;
     /// Whether the store no longer has the changes after the known revision.
     bool isHistoryGone_ { false };
+    /// The highest era that a watch was answered in; a complete state of an earlier one is of no use.
+    uint64_t watchedEra_ { 0 };
     /// The pages read so far, kept so that a rejected call repeats one page only.
     std::optional<Mirror::ChangeBatch> partialSnapshot_;
     Worker worker_;
