--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -67,7 +67,7 @@
     , peers_(registry_.gauge("eelgrasshatch_peers", "Other entry VMs known."))
     , revision_(registry_.gauge("eelgrasshatch_store_revision", "Revision of the store that is held."))
     , storeEra_(registry_.gauge(
-          "eelgrasshatch_store_era", "Era of the store's last answer; rises when the store comes back from a copy."))
+          "eelgrasshatch_store_era", "Era of the records that are held; rises when the store comes back from a copy."))
     , storeReachable_(registry_.gauge("eelgrasshatch_store_reachable", "1 while the store answers."))
     , ready_(registry_.gauge("eelgrasshatch_ready", "1 while callers may be sent here."))
     , configurationVersion_(
@@ -159,8 +159,9 @@
     flows_.Set(static_cast<double>(statistics.flows));
     servers_.Set(static_cast<double>(statistics.servers));
     peers_.Set(static_cast<double>(statistics.peers));
-    revision_.Set(static_cast<double>(feed.revision()));
-    storeEra_.Set(static_cast<double>(store.era()));
+    const auto position = feed.position();
+    revision_.Set(static_cast<double>(position.revision));
+    storeEra_.Set(static_cast<double>(position.era));
     storeReachable_.Set(feed.isStoreReachable() ? 1 : 0);
 }
 
--- a/Libraries/LibEntry/RegistrationThread.cpp
+++ b/Libraries/LibEntry/RegistrationThread.cpp
@@ -63,7 +63,7 @@
 template <typename T>
 void RegistrationThread::recordResponse(StoreCall call, const Platform::StoreResponse<T>& response)
 {
-    counters_.count(call, response);
+    counters_.count(call, response.outcome);
     raiseStoreEra(response.era);
 }
 
--- a/Libraries/LibEntry/StateFeed.cpp
+++ b/Libraries/LibEntry/StateFeed.cpp
@@ -114,16 +114,8 @@
     if (!*event.value)
         return;
     if (const auto* changed = std::get_if<Steering::ConfigurationChanged>(&**event.value)) {
-        if (configuration_ && !changed->configuration->isNewerThan(*configuration_)) {
-            Log::write(Events::configurationNotNewer,
-                Fields()
-                    .add("version", changed->configuration->version)
-                    .add("in_force", configuration_->version)
-                    .add("era", era)
-                    .add("revision", record.revision)
-                    .add("source", source));
+        if (!isNewConfiguration(*changed, source))
             return;
-        }
         configuration_ = changed->configuration;
     }
     std::visit([&](const auto& typed) { logEvent(typed, source); }, **event.value);
@@ -133,51 +125,78 @@
     push(std::move(**event.value));
 }
 
+bool StateFeed::isNewConfiguration(const Steering::ConfigurationChanged& event, std::string_view source) const
+{
+    const auto& configuration = *event.configuration;
+    if (!configuration_ || configuration.isNewerThan(*configuration_))
+        return true;
+    Log::write(Events::configurationNotNewer,
+        Fields()
+            .add("version", configuration.version)
+            .add("in_force", configuration_->version)
+            .add("era", configuration.position.era)
+            .add("revision", configuration.position.revision)
+            .add("source", source));
+    return false;
+}
+
+void StateFeed::recordIgnored(const Mirror::ChangeBatch& batch, std::string_view source)
+{
+    ignoredBatches_.fetch_add(1, std::memory_order_relaxed);
+    Log::write(Events::batchIgnored,
+        Fields()
+            .add("era", batch.era)
+            .add("after", batch.after)
+            .add("up_to", batch.upTo)
+            .add("complete", batch.isComplete)
+            .add("known_era", mirror_.position().era)
+            .add("known_revision", mirror_.position().revision)
+            .add("source", source));
+}
+
+void StateFeed::beginCopy(const Mirror::ChangeBatch& batch, std::string_view source)
+{
+    push(Steering::StoreRestored {});
+    Log::write(Events::storeEraChanged,
+        Fields()
+            .add("from", mirror_.position().era)
+            .add("to", batch.era)
+            .add("known_revision", mirror_.position().revision)
+            .add("revision", batch.upTo)
+            .add("source", source));
+}
+
+void StateFeed::recordSynchronized(const Mirror::ChangeBatch& batch, std::string_view source) const
+{
+    Log::write(Events::stateSynchronized,
+        Fields()
+            .add("era", batch.era)
+            .add("revision", batch.upTo)
+            .add("records", mirror_.size())
+            .add("source", source));
+}
+
 bool StateFeed::apply(const Mirror::ChangeBatch& batch, std::string_view source)
 {
     const std::scoped_lock lock(mutex_);
     if (!mirror_.accepts(batch)) {
-        ignoredBatches_.fetch_add(1, std::memory_order_relaxed);
-        Log::write(Events::batchIgnored,
-            Fields()
-                .add("era", batch.era)
-                .add("after", batch.after)
-                .add("up_to", batch.upTo)
-                .add("complete", batch.isComplete)
-                .add("known_era", mirror_.position().era)
-                .add("known_revision", mirror_.position().revision)
-                .add("source", source));
+        recordIgnored(batch, source);
         return false;
     }
-    const bool wasSynchronized = mirror_.isSynchronized();
-    const auto previous = mirror_.position();
-    if (batch.era > previous.era && options_.onStoreEra)
+    const bool isNewEra = batch.era > mirror_.position().era;
+    const bool isCopy = isNewEra && mirror_.isSynchronized();
+    const bool isFirst = batch.isComplete && !mirror_.isSynchronized();
+    if (isNewEra && options_.onStoreEra)
         options_.onStoreEra(batch.era);
-    const bool isRestored = wasSynchronized && batch.era > previous.era;
-    if (isRestored) {
-        push(Steering::StoreRestored {});
-        Log::write(Events::storeEraChanged,
-            Fields()
-                .add("from", previous.era)
-                .add("to", batch.era)
-                .add("known_revision", previous.revision)
-                .add("revision", batch.upTo)
-                .add("source", source));
-    }
-    const auto recordSource = isRestored ? "copy: " + std::string(source) : std::string(source);
+    if (isCopy)
+        beginCopy(batch, source);
+    const auto recordSource = isCopy ? "copy: " + std::string(source) : std::string(source);
     for (const auto& record : mirror_.apply(batch))
         applyRecord(record, batch.era, recordSource);
-    const bool isFirst = !wasSynchronized && mirror_.isSynchronized();
-    if (isFirst || isRestored)
+    if (isFirst || isCopy)
         push(Steering::StateSynchronized {});
-    if (isFirst) {
-        Log::write(Events::stateSynchronized,
-            Fields()
-                .add("era", batch.era)
-                .add("revision", batch.upTo)
-                .add("records", mirror_.size())
-                .add("source", source));
-    }
+    if (isFirst)
+        recordSynchronized(batch, source);
     {
         const std::scoped_lock positionLock(positionMutex_);
         position_ = mirror_.position();
--- a/Libraries/LibEntry/StateFeed.h
+++ b/Libraries/LibEntry/StateFeed.h
@@ -57,6 +57,12 @@
 private:
     void push(Steering::StateEvent);
     void applyRecord(const Mirror::Record&, uint64_t era, std::string_view source);
+    /// Returns whether the configuration is newer than the one in force, as the decider judges as well.
+    bool isNewConfiguration(const Steering::ConfigurationChanged&, std::string_view source) const;
+    void recordIgnored(const Mirror::ChangeBatch&, std::string_view source);
+    /// The store came back from a copy, whose content the batch is.
+    void beginCopy(const Mirror::ChangeBatch&, std::string_view source);
+    void recordSynchronized(const Mirror::ChangeBatch&, std::string_view source) const;
 
     Options options_;
     /// Protects mirror_, and keeps the events of different sources in the order of their changes.
--- a/Libraries/LibEntry/StoreCounters.h
+++ b/Libraries/LibEntry/StoreCounters.h
@@ -23,19 +23,14 @@
     return names[static_cast<std::size_t>(call)];
 }
 
-/// Number of calls to the store by kind and outcome since the process started, and the store's era. Any thread.
+/// Number of calls to the store by kind and outcome since the process started. Any thread.
 class StoreCounters {
 public:
-    template <typename T>
-    void count(StoreCall call, const Platform::StoreResponse<T>& response)
+    void count(StoreCall call, Platform::StoreOutcome outcome)
     {
-        totals_[static_cast<std::size_t>(call)][static_cast<std::size_t>(response.outcome)].fetch_add(
+        totals_[static_cast<std::size_t>(call)][static_cast<std::size_t>(outcome)].fetch_add(
             1, std::memory_order_relaxed);
-        if (response.era != 0)
-            era_.store(response.era, std::memory_order_relaxed);
     }
-    /// The era in the last response; zero if none has stated it.
-    uint64_t era() const { return era_.load(std::memory_order_relaxed); }
     uint64_t total(StoreCall call, Platform::StoreOutcome outcome) const
     {
         return totals_[static_cast<std::size_t>(call)][static_cast<std::size_t>(outcome)].load(
@@ -44,7 +39,6 @@
 
 private:
     std::array<std::array<std::atomic<uint64_t>, Platform::storeOutcomeCount>, storeCallCount> totals_ {};
-    std::atomic<uint64_t> era_ { 0 };
 };
 
 }
--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -134,7 +134,7 @@
 {
     const auto after = partialSnapshot_ ? partialSnapshot_->records.back().key : std::string();
     auto page = client_.readPage(Platform::Names::allKeysPrefix, after);
-    counters_.count(StoreCall::Read, page);
+    counters_.count(StoreCall::Read, page.outcome);
     if (!page.isOk()) {
         handleCallFailure(page.outcome, page.detail);
         return false;
@@ -199,7 +199,7 @@
 {
     const auto wait = beginWatch();
     auto response = client_.watch(Platform::Names::allKeysPrefix, feed_.revision(), wait);
-    counters_.count(StoreCall::Watch, response);
+    counters_.count(StoreCall::Watch, response.outcome);
     if (response.outcome == Platform::StoreOutcome::HistoryGone) {
         handleCallSuccess();
         Log::write(Events::historyGone, Log::Fields().add("revision", feed_.revision()).add("era", response.era));
--- a/Libraries/LibMirror/Mirror.cpp
+++ b/Libraries/LibMirror/Mirror.cpp
@@ -100,7 +100,6 @@
         return {};
     if (synchronized_ && batch.era > era_)
         return replaceAll(batch);
-    era_ = batch.era;
     auto changes = batch.records;
     if (batch.isComplete)
         std::ranges::move(deletionsForMissingKeys(batch), std::back_inserter(changes));
@@ -122,6 +121,7 @@
     if (batch.isComplete && (!synchronized_ || batch.upTo > revision_))
         deletionsCompleteAfter_ = batch.upTo;
     synchronized_ |= batch.isComplete;
+    era_ = batch.era;
     revision_ = std::max(revision_, batch.upTo);
     return effective;
 }
