LibHttp: Report a connection that ends without a byte as a failure

What callers would have seen: nothing from entryd, whose store calls failed either way, under the wrong name (malformed). A reader of the status code alone took it for a success: the stand-in fabric's readiness check, for one. Cause: Beast's put_eof() assumes that something was parsed; without a byte, and with asserts off, it completes an empty response whose status is 200 by default. The new case of TestLibEntry failed before for an end and a reset without a byte. Change: the parser is only told of the end if it got some bytes. Measured: TestLibEntry passes.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -139,7 +139,9 @@
             continue;
         boost::system::error_code error;
         if (received <= 0) {
-            parser.put_eof(error);
+            // put_eof() takes the end of a connection without any byte for an empty response.
+            if (parser.got_some())
+                parser.put_eof(error);
             if (error || !parser.is_done())
                 return Base::makeError(ErrorCode::TimedOut, "connection closed before the end of the response");
             break;
--- a/Tests/LibEntry/TestStatusServer.cpp
+++ b/Tests/LibEntry/TestStatusServer.cpp
@@ -1,8 +1,10 @@
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/StatusServer.h>
 #include <LibPeer/Sockets.h>
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <poll.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -76,3 +78,30 @@
     REQUIRE_FALSE(refused.isOk());
     CHECK(refused.error.code == Base::ErrorCode::Unavailable);
 }
+
+// Guards against a connection that ends without a response and counts as an empty success, such as a ready entry VM.
+TEST_CASE("a connection that ends before the response, or within it, is no response")
+{
+    const std::string beginning = GENERATE(as<std::string> {}, "", "H", "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfour");
+    const bool resets = GENERATE(false, true);
+    CAPTURE(beginning, resets);
+    const int listener = Peer::listenTcp({ .address = { 0x7F000001 }, .port = 0 }).value();
+    std::thread thread([&] {
+        pollfd entry { .fd = listener, .events = POLLIN, .revents = 0 };
+        ::poll(&entry, 1, static_cast<int>(callTimeout.count()));
+        const int connection = ::accept(listener, nullptr, nullptr);
+        std::array<char, 1024> request {};
+        [[maybe_unused]] const auto received = ::recv(connection, request.data(), request.size(), 0);
+        [[maybe_unused]] const auto sent = ::send(connection, beginning.data(), beginning.size(), MSG_NOSIGNAL);
+        const linger reset { .l_onoff = resets ? 1 : 0, .l_linger = 0 };
+        ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        ::close(connection);
+    });
+    Http::HttpClient client({ .server = Peer::localEndpoint(listener), .connectTimeout = callTimeout });
+    const auto response = Base::capture([&] { return client.call({ .target = "/" }, callTimeout); });
+    thread.join();
+    ::close(listener);
+    REQUIRE_FALSE(response.isOk());
+    CHECK(response.error.code == Base::ErrorCode::TimedOut);
+}
