Tests, LibEntry: Decode positions and sequences; name positions in the event's text

Cause: the decoder's new fields had no test of their own, and one event spoke of revisions only. Change: checks for sequence and positions; wording. Measured: TestPlatform passes.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -53,7 +53,7 @@
     , recordsRefused_(
           registry_.counter("eelgrasshatch_records_refused_total", "Records of the store that could not be read."))
     , batchesIgnored_(registry_.counter("eelgrasshatch_batches_ignored_total",
-          "Batches of records that were not applied, as they end before the known revision or start after it."))
+          "Batches of records that were not applied, as they end before the known position or start after it."))
     , logLinesDropped_(registry_.counter(
           "eelgrasshatch_log_lines_dropped_total", "Log lines left out because of an event's limit or a full queue."))
     , reportsReceived_(registry_.counter("eelgrasshatch_load_reports_received_total", "Load reports of peers."))
--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -95,7 +95,7 @@
     "The first page of the store's records was read; the records are fetched from peers that read all of them." };
 
 inline constexpr Event batchIgnored { 5040, "batch_ignored", Level::Info,
-    "Records from the store or a peer were not applied: they end before the known revision, or start after it.",
+    "Records from the store or a peer were not applied: they end before the known position, or start after it.",
     batchLinesPerSecond };
 inline constexpr Event storeEraChanged { 5041, "store_era_changed", Level::Warning,
     "The store came back from a copy; what was written to it after the copy may be missing." };
--- a/Tests/Platform/TestRecordDecoder.cpp
+++ b/Tests/Platform/TestRecordDecoder.cpp
@@ -51,6 +51,7 @@
     CHECK(event->entry.warmUpLeft == Base::milliseconds(1500));
     CHECK(event->entry.startedAt == Base::milliseconds(1700));
     CHECK(event->entry.revision == 9);
+    CHECK(event->entry.sequence == 4);
     CHECK(decode<Steering::ServerUnlisted>({ .key = "servers/i-7f3a91c2", .revision = 10, .isDeletion = true })
               ->number.value
         == 0x7f3a91c2);
@@ -99,6 +100,20 @@
     CHECK(configuration.idleTimeout == Base::milliseconds(15'000));
 }
 
+TEST_CASE("a configuration and an evacuation carry the position at which they were written")
+{
+    const Record record { .key = "op/config", .revision = 12, .value = configurationText };
+    const auto event = Base::capture([&] { return Platform::decodeRecord(record, 3); });
+    REQUIRE(event.isOk());
+    REQUIRE(*event.value);
+    CHECK(std::get<Steering::ConfigurationChanged>(**event.value).configuration->position
+        == Base::StorePosition { .era = 3, .revision = 12 });
+    const auto evacuation
+        = decode<Steering::DomainEvacuation>({ .key = "op/evacuate/brum", .revision = 7, .value = "{}" });
+    REQUIRE(evacuation);
+    CHECK(evacuation->revision == 7);
+}
+
 TEST_CASE("a route of an unknown type counts as not repeatable")
 {
     const auto text = replaced(configurationText, "\"safe\"", "\"stream\"");
