StandIns: Hold the ports of a deployment until all are chosen

Cause: free ports were found by opening and closing a socket each, so that the kernel could return one twice.

--- a/StandIns/LibFleet/Deployment.cpp
+++ b/StandIns/LibFleet/Deployment.cpp
@@ -1,5 +1,6 @@
 #include <LibFleet/Deployment.h>
 
+#include <LibFleet/PortReservation.h>
 #include <LibPeer/Sockets.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -19,17 +20,14 @@
     constexpr unsigned callerSubnet = 20;
     constexpr unsigned serverSubnet = 30;
 
-    Base::Ipv4Endpoint routeEndpoint(uint16_t port) { return { .address = { 0xC6120001 }, .port = port }; }
-
-    /// Returns an endpoint with a port that the kernel chose and that is free for TCP at the time of the call.
-    Base::Ipv4Endpoint findFreeEndpoint(Base::Ipv4Address address)
+    void closeAll(const std::vector<int>& sockets)
     {
-        const int socket = Peer::listenTcp({ .address = address, .port = 0 }).value();
-        const auto endpoint = Peer::localEndpoint(socket);
-        ::close(socket);
-        return endpoint;
+        for (const int socket : sockets)
+            ::close(socket);
     }
 
+    Base::Ipv4Endpoint routeEndpoint(uint16_t port) { return { .address = { 0xC6120001 }, .port = port }; }
+
 }
 
 Deployment::Deployment(EventLoop& loop, Options options)
@@ -41,7 +39,6 @@
         for (auto& entryVm : entryVms_)
             entryVm.store->completeWatches();
     });
-    network_.dataPort = findDataPort();
     writeConfiguration();
     for (const auto& zone : zones_) {
         for (std::size_t index = 0; index < options_.serversPerZone; ++index)
@@ -64,25 +61,28 @@
     return { (127U << 24) | (secondOctet << 16) | (subnet << 8) | static_cast<uint32_t>(index + 1) };
 }
 
-uint16_t Deployment::findDataPort() const
+std::vector<int> Deployment::reserveDataPort()
 {
     // Entry VMs and callers use the same port, so it must be free on each of their addresses.
     for (;;) {
-        const int first = Peer::bindUdp({ .address = address(entryVmSubnet, 0), .port = 0 }, false).value();
-        const auto port = Peer::localEndpoint(first).port;
-        ::close(first);
+        std::vector<int> sockets { Peer::bindUdp({ .address = address(entryVmSubnet, 0), .port = 0 }, false).value() };
+        network_.dataPort = Peer::localEndpoint(sockets.front()).port;
         bool isFree = true;
         for (const unsigned subnet : { entryVmSubnet, callerSubnet }) {
             for (std::size_t index = 0; index < zones_.size() * options_.entryVmsPerZone && isFree; ++index) {
-                const auto bound = Base::capture(
-                    [&] { return Peer::bindUdp({ .address = address(subnet, index), .port = port }, false); });
+                if (subnet == entryVmSubnet && index == 0)
+                    continue;
+                const auto bound = Base::capture([&] {
+                    return Peer::bindUdp({ .address = address(subnet, index), .port = network_.dataPort }, false);
+                });
                 isFree = bound.isOk();
                 if (isFree)
-                    ::close(*bound.value);
+                    sockets.push_back(*bound.value);
             }
         }
         if (isFree)
-            return port;
+            return sockets;
+        closeAll(sockets);
     }
 }
 
@@ -91,6 +91,13 @@
     std::vector<std::string> regions;
     for (const auto& zone : zones_)
         regions.push_back(zone + "=midlands");
+    // Ports stay reserved until all are chosen; otherwise the kernel may return one twice.
+    const auto dataSockets = reserveDataPort();
+    std::vector<PortReservation> reservations;
+    const auto reserve = [&](Base::Ipv4Address vmAddress) {
+        reservations.emplace_back(vmAddress);
+        return reservations.back().endpoint();
+    };
     std::vector<EntryProcess::Options> all;
     for (std::size_t index = 0; index < zones_.size() * options_.entryVmsPerZone; ++index) {
         const auto vmAddress = address(entryVmSubnet, index);
@@ -99,10 +106,10 @@
             .program = options_.program,
             .folder = options_.folder,
             .data = { .address = vmAddress, .port = network_.dataPort },
-            .control = findFreeEndpoint(vmAddress),
-            .reports = findFreeEndpoint(vmAddress),
-            .readiness = findFreeEndpoint(vmAddress),
-            .metrics = findFreeEndpoint(vmAddress),
+            .control = reserve(vmAddress),
+            .reports = reserve(vmAddress),
+            .readiness = reserve(vmAddress),
+            .metrics = reserve(vmAddress),
             .regions = regions,
             .isOutputRead = options_.isOutputRead };
         EntryVm vm;
@@ -115,6 +122,8 @@
         network_.zones[vmAddress] = entryVm.zone;
         all.push_back(std::move(entryVm));
     }
+    reservations.clear();
+    closeAll(dataSockets);
     std::vector<Base::Ipv4Endpoint> seeds;
     for (std::size_t index = 0; index < std::min(options_.seedCount, all.size()); ++index)
         seeds.push_back(all[index].advertised);
--- a/StandIns/LibFleet/Deployment.h
+++ b/StandIns/LibFleet/Deployment.h
@@ -77,7 +77,8 @@
     void createEntryVms();
     void createCallers();
     void watchProcesses();
-    uint16_t findDataPort() const;
+    /// Chooses network_.dataPort and returns the sockets that hold it.
+    std::vector<int> reserveDataPort();
 
     EventLoop& loop_;
     Options options_;
