LibSteering: Keep open flows where their server responds when another entry claims its number

Callers saw resets on open flows of live servers, and unsafe requests without an answer, when another writer registered a key with the digits of a server's id, or overwrote the server's own key until its next heartbeat.

Cause: packets carry the number in an id, and entries were kept by that number alone. The later entry replaced the server's, moved packets and probes to its address, and a probe that nothing answered there reset the flows; its removal retired the live server. An entry of a service that no configuration names did so, too.

Change: entries carry their id. ServerClaims decides which one describes a server: the first stays until it is gone or its server never responded. Open flows and probes stay at the address at which the server has responded; first packets follow the entry. No token resolves to an entry whose service was never configured. While a number is contested and the server has not responded here, silence resets no flow. Entries that are not used are logged (backend_server_contested) and counted, and server lines name the id.

TestLaterPackets: the test of shared tokens fills the table directly; it now configures its two services, as the decider does.

--- a/Libraries/LibEntry/EntryMetrics.cpp
+++ b/Libraries/LibEntry/EntryMetrics.cpp
@@ -64,6 +64,8 @@
     , waiting_(registry_.gauge("eelgrasshatch_first_packets_waiting", "First packets that wait for a place."))
     , flows_(registry_.gauge("eelgrasshatch_flows", "Flows whose progress is followed."))
     , servers_(registry_.gauge("eelgrasshatch_backend_servers", "Backend servers known, departed ones included."))
+    , contestingEntries_(registry_.gauge("eelgrasshatch_contesting_entries",
+          "Backend servers' entries that are not in use, since another entry has the same number."))
     , peers_(registry_.gauge("eelgrasshatch_peers", "Other entry VMs known."))
     , revision_(registry_.gauge("eelgrasshatch_store_revision", "Revision of the store that is held."))
     , storeEra_(registry_.gauge(
@@ -158,6 +160,7 @@
     configurationVersion_.Set(static_cast<double>(statistics.configurationVersion));
     flows_.Set(static_cast<double>(statistics.flows));
     servers_.Set(static_cast<double>(statistics.servers));
+    contestingEntries_.Set(static_cast<double>(statistics.contestingEntries));
     peers_.Set(static_cast<double>(statistics.peers));
     const auto position = feed.position();
     revision_.Set(static_cast<double>(position.revision));
--- a/Libraries/LibEntry/EntryMetrics.h
+++ b/Libraries/LibEntry/EntryMetrics.h
@@ -54,6 +54,7 @@
     prometheus::Gauge& waiting_;
     prometheus::Gauge& flows_;
     prometheus::Gauge& servers_;
+    prometheus::Gauge& contestingEntries_;
     prometheus::Gauge& peers_;
     prometheus::Gauge& revision_;
     prometheus::Gauge& storeEra_;
--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -103,6 +103,9 @@
     5042, "configuration_not_newer", Level::Warning,
     "A configuration is older than the one in force, which stays; a store that came back from a copy shows such ones."
 };
+inline constexpr Event serverContested { 5043, "backend_server_contested", Level::Warning,
+    "A backend server's entry is not used: another one has its number, or its service does not exist.",
+    serverLinesPerSecond };
 
 /// All events of entryd, in the order of their numbers.
 inline constexpr std::array all { flowPlaced, flowAttemptedAgain, flowOpenedLate, flowRefused, flowNeverOpened,
@@ -110,6 +113,6 @@
     serverListed, serverUnlisted, domainEvacuated, recordRefused, peerListed, peerUnlisted, stateSynchronized,
     serverUnreachable, probeFailed, storeLost, storeRegained, historyGone, registered, registrationFailed, caughtUp,
     peerFetchFailed, storeWatchStarted, storeWatchEnded, storeReadDeferred, batchIgnored, storeEraChanged,
-    configurationNotNewer };
+    configurationNotNewer, serverContested };
 
 }
--- a/Libraries/LibEntry/FlowLog.cpp
+++ b/Libraries/LibEntry/FlowLog.cpp
@@ -70,6 +70,19 @@
     Log::write(eventFor(decision.kind), fields);
 }
 
+void logContestedServer(const Steering::BackendServerEntry& entry, const Steering::BackendServerEntry& inUse)
+{
+    Log::write(Events::serverContested,
+        Log::Fields()
+            .add("server", entry.number.toString())
+            .add("id", entry.id)
+            .add("service", entry.service)
+            .add("address", entry.address.toString())
+            .add("id_in_use", inUse.id)
+            .add("service_in_use", inUse.service)
+            .add("address_in_use", inUse.address.toString()));
+}
+
 void logRequest(
     std::string_view requestId, const Steering::PacketView& packet, const Steering::Verdict& verdict, uint64_t revision)
 {
--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -81,7 +81,8 @@
                 .flowLifetime = settings.limits.flowLifetime,
                 .maximumFlows = settings.limits.maximumFlows,
                 .seed = Base::hashText(settings.name),
-                .onDecision = logFlowDecision }));
+                .onDecision = logFlowDecision,
+                .onContestedServer = logContestedServer }));
 }
 
 PacketThread::PacketThread(const EntrySettings& settings, StateFeed& feed, CatchUpThread& catchUp, StoreThread& store,
@@ -471,6 +472,7 @@
     statistics_.waiting = decider_.admission().waitingCount();
     statistics_.flows = decider_.flowCount();
     statistics_.servers = decider_.serverCount();
+    statistics_.contestingEntries = decider_.contestingEntryCount();
     statistics_.peers = decider_.peers().size();
     statistics_.isReady = ready_.load(std::memory_order_relaxed);
     statistics_.configurationVersion = decider_.configurationVersion();
--- a/Libraries/LibEntry/PacketThread.h
+++ b/Libraries/LibEntry/PacketThread.h
@@ -37,6 +37,8 @@
     std::size_t waiting { 0 };
     std::size_t flows { 0 };
     std::size_t servers { 0 };
+    /// Backend servers' entries that are not in use; see ServerClaims.
+    std::size_t contestingEntries { 0 };
     std::size_t peers { 0 };
     bool isReady { false };
     uint64_t configurationVersion { 0 };
--- a/Libraries/LibEntry/StateFeed.cpp
+++ b/Libraries/LibEntry/StateFeed.cpp
@@ -28,6 +28,7 @@
         Log::write(Events::serverListed,
             Fields()
                 .add("server", entry.number.toString())
+                .add("id", entry.id)
                 .add("address", entry.address.toString())
                 .add("service", entry.service)
                 .add("failure_domain", entry.failureDomain)
@@ -40,7 +41,8 @@
 
     void logEvent(const Steering::ServerUnlisted& event, std::string_view source)
     {
-        Log::write(Events::serverUnlisted, Fields().add("server", event.number.toString()).add("source", source));
+        Log::write(Events::serverUnlisted,
+            Fields().add("server", event.number.toString()).add("id", event.id).add("source", source));
     }
 
     void logEvent(const Steering::DomainEvacuation& event, std::string_view source)
@@ -107,8 +109,8 @@
                 .add("error", event.error.detail)
                 .add("source", source));
         // A backend server whose entry cannot be decoded is no longer used, even if an earlier entry was valid.
-        if (const auto number = Platform::serverNumberOfKey(record.key))
-            push(Steering::ServerUnlisted { .number = *number });
+        if (auto unlisted = Platform::serverUnlistedOfKey(record.key))
+            push(std::move(*unlisted));
         return;
     }
     if (!*event.value)
--- a/Libraries/LibSteering/Connection/StalledFlows.cpp
+++ b/Libraries/LibSteering/Connection/StalledFlows.cpp
@@ -54,8 +54,11 @@
     const auto index = servers_.find(record.server);
     if (!index)
         return;
-    servers_.at(*index).lastResponseAt = now;
-    servers_.at(*index).unreachableAt = {};
+    auto& server = servers_.at(*index);
+    server.lastResponseAt = now;
+    server.unreachableAt = {};
+    if (!server.confirmedAddress)
+        server.confirmAddress(record.requestSeenAt);
 }
 
 void StalledFlows::recordAttemptTimeout(Base::TimePoint now, Server& server)
@@ -76,7 +79,7 @@
         return;
     server.isProbePending = true;
     server.lastProbeAt = now;
-    probes_.push_back({ .server = server.entry.number, .address = server.entry.address });
+    probes_.push_back({ .server = server.entry.number, .address = server.flowAddress() });
 }
 
 void StalledFlows::runDueChecks(Base::TimePoint now, Base::nanoseconds stallTime)
@@ -127,7 +130,7 @@
     auto& server = servers_.at(*index);
     server.isProbePending = false;
     const bool hasResponded = server.lastResponseAt > server.lastProbeAt;
-    if (result.isReachable || hasResponded) {
+    if (result.isReachable || hasResponded || server.isAddressUnproven()) {
         server.unreachableAt = {};
         return;
     }
--- a/Libraries/LibSteering/Events.h
+++ b/Libraries/LibSteering/Events.h
@@ -24,9 +24,10 @@
     BackendServerEntry entry;
 };
 
-/// A backend server's entry was removed.
+/// A backend server's entry was removed, or names no server to use.
 struct ServerUnlisted {
     BackendServerNumber number;
+    std::string id;
 };
 
 /// Operators took a failure domain out of service, or put it back.
--- a/Libraries/LibSteering/Process/RestoredRecords.cpp
+++ b/Libraries/LibSteering/Process/RestoredRecords.cpp
@@ -13,9 +13,9 @@
 std::optional<RestoredRecords::Subject> RestoredRecords::subjectOf(const StateEvent& event)
 {
     if (const auto* listed = std::get_if<ServerListed>(&event))
-        return listed->entry.number;
+        return std::pair(listed->entry.number, listed->entry.id);
     if (const auto* unlisted = std::get_if<ServerUnlisted>(&event))
-        return unlisted->number;
+        return std::pair(unlisted->number, unlisted->id);
     if (const auto* evacuation = std::get_if<DomainEvacuation>(&event))
         return evacuation->failureDomain;
     if (const auto* listed = std::get_if<PeerListed>(&event))
--- a/Libraries/LibSteering/Process/RestoredRecords.h
+++ b/Libraries/LibSteering/Process/RestoredRecords.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -34,8 +35,8 @@
     std::vector<StateEvent> takeDue(Base::TimePoint now);
 
 private:
-    /// A backend server, an entry VM, or a failure domain.
-    using Subject = std::variant<BackendServerNumber, Base::EntryVmId, std::string>;
+    /// A backend server's entry, by number and id, an entry VM, or a failure domain.
+    using Subject = std::variant<std::pair<BackendServerNumber, std::string>, Base::EntryVmId, std::string>;
 
     static std::optional<Subject> subjectOf(const StateEvent&);
     bool contradictsKnown(const StateEvent&) const;
--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -46,6 +46,8 @@
     std::optional<ServerIndex> best;
     for (const auto index : found->second) {
         const auto& server = servers_[index];
+        if (!server.hasBeenConfigured)
+            continue;
         if (std::ranges::find(services, server.service) != services.end() && !server.isShadowed)
             return index;
         if (!best || !server.isShadowed)
@@ -94,7 +96,12 @@
 bool ServerTable::supersedes(const Server& other, const Server& server) const
 {
     return other.presence != Presence::Retired && other.entry.startedAt > server.entry.startedAt
-        && std::ranges::find(configuredServices_, other.service) != configuredServices_.end();
+        && isConfigured(other.service);
+}
+
+bool ServerTable::isConfigured(ServiceIndex service) const
+{
+    return std::ranges::binary_search(configuredServices_, service);
 }
 
 void ServerTable::updateSuperseded(Base::TimePoint now, const Base::Ipv4Endpoint& address)
@@ -119,16 +126,14 @@
     }
 }
 
-void ServerTable::setConfiguredServices(Base::TimePoint now, const std::vector<std::string>& names)
+void ServerTable::setConfiguredServices(Base::TimePoint now, std::vector<ServiceIndex> configured)
 {
-    std::vector<ServiceIndex> configured;
-    configured.reserve(names.size());
-    for (const auto& name : names)
-        configured.push_back(serviceIndex(name));
     std::ranges::sort(configured);
+    configured.erase(std::unique(configured.begin(), configured.end()), configured.end());
     if (configured == configuredServices_)
         return;
     configuredServices_ = std::move(configured);
+    forEach([&](ServerIndex, Server& server) { server.hasBeenConfigured |= isConfigured(server.service); });
     for (const auto& [address, serversAtAddress] : byAddress_) {
         if (serversAtAddress.size() > 1)
             updateSuperseded(now, address);
@@ -167,7 +172,8 @@
     const auto known = find(entry.number);
     const auto index = known.value_or(0);
     const bool isKnown = known.has_value();
-    const bool isRestart = isKnown && servers_[index].entry.startedAt != entry.startedAt;
+    const bool isOther = isKnown && servers_[index].entry.id != entry.id;
+    const bool isRestart = isKnown && (isOther || servers_[index].entry.startedAt != entry.startedAt);
     auto warmUp = entry.warmUpLeft;
     if (isRestart)
         warmUp = std::max(warmUp, serviceWarmUp);
@@ -178,9 +184,18 @@
     auto& server = servers_[targetIndex];
     if (!isKnown)
         server = {};
+    if (!isKnown || server.entry.address != entry.address) {
+        server.previousAddress = isKnown ? std::optional(server.entry.address) : std::nullopt;
+        server.addressKnownSince = now;
+    }
+    if (isOther) {
+        server.confirmedAddress.reset();
+        server.previousAddress.reset();
+    }
     server.entry = entry;
     server.confirmedToken = FlowToken::confirmed(entry.number);
     server.service = serviceIndex(entry.service);
+    server.hasBeenConfigured = (server.hasBeenConfigured && !isOther) || isConfigured(server.service);
     server.domain = domainIndex(entry.failureDomain);
     server.presence = Presence::Listed;
     server.coldUntil = std::max(server.coldUntil, now + warmUp);
@@ -235,6 +250,8 @@
     if (!index)
         return false;
     const auto& known = servers_[*index];
+    if (known.entry.id != entry.id)
+        return false;
     return entry.isOlderThan(known.entry) || (known.presence == Presence::Retired && !known.entry.isOlderThan(entry));
 }
 
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -53,6 +53,16 @@
     Presence presence { Presence::Free };
     /// Another server of the service has the same confirmed token and a smaller number.
     bool isShadowed { false };
+    /// A configuration has named its service at some time since it was added. Until then the entry names no server to
+    /// use, and says nothing about packets that carry its number.
+    bool hasBeenConfigured { false };
+    /// Another entry claims the same number; see ServerClaims.
+    bool isContested { false };
+    /// The address at which it responded last. Open flows stay there, whatever the entry says since.
+    std::optional<Base::Ipv4Endpoint> confirmedAddress;
+    /// When the entry's address became known, and the one before.
+    Base::TimePoint addressKnownSince {};
+    std::optional<Base::Ipv4Endpoint> previousAddress;
     /// A server of a configured service that started later is registered at the same address. Another writer may have
     /// made that entry by mistake, so that it alone does not show that this server has ended.
     bool isSuperseded { false };
@@ -91,6 +101,18 @@
         return now < coldUntil || now < restart.ownColdUntil || now < restart.peersColdUntil;
     }
     uint32_t inFlight() const { return ownInFlight + peersInFlight; }
+    /// Where packets of open flows are sent. First packets are sent to the entry's address.
+    const Base::Ipv4Endpoint& flowAddress() const { return confirmedAddress ? *confirmedAddress : entry.address; }
+    /// The server has responded to a packet that was sent to the entry's address at the given time.
+    void confirmAddress(Base::TimePoint sentAt)
+    {
+        if (!previousAddress || sentAt > addressKnownSince)
+            confirmedAddress = entry.address;
+        else if (!confirmedAddress)
+            confirmedAddress = previousAddress;
+    }
+    /// Whether the entry alone, of several with this number, says where the server is.
+    bool isAddressUnproven() const { return isContested && !confirmedAddress; }
     /// Whether new flows avoid this server because of a later one at its address.
     bool isReplaced() const
     {
@@ -127,7 +149,9 @@
     void setStoreReachable(Base::TimePoint now, bool isReachable);
     /// Sets the services that the configuration in force names. Entries of other services are kept, but say nothing
     /// about other servers at their address.
-    void setConfiguredServices(Base::TimePoint now, const std::vector<std::string>& names);
+    void setConfiguredServices(Base::TimePoint now, std::vector<ServiceIndex>);
+    /// Whether the configuration in force names the service.
+    bool isConfigured(ServiceIndex) const;
     /// The server has completed a handshake, so that earlier ones at its address have ended.
     void confirmEndOfEarlierServers(ServerIndex);
     /// Ends grace periods and erases servers whose retention is over. Called every 250 ms.
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -19,6 +19,7 @@
 SteeringDecider::SteeringDecider(const Options& options)
     : options_(options)
     , servers_({ .retention = options.flowLifetime })
+    , claims_(servers_)
     , restoredRecords_({ .isOutdated = [this](const BackendServerEntry& entry) { return servers_.isOutdated(entry); } })
     , allowance_({ .self = options.self, .overshoot = options.warmUpOvershoot, .slack = options.warmUpSlack })
     , peerLoads_(servers_)
@@ -61,11 +62,12 @@
     configuration_ = event.configuration;
     routes_.replace(*configuration_, servers_);
     shareChoice_.reset();
-    std::vector<std::string> services;
-    services.reserve(configuration_->services.size());
+    auto services = routes_.services();
+    services.reserve(services.size() + configuration_->services.size());
     for (const auto& profile : configuration_->services)
-        services.push_back(profile.name);
-    servers_.setConfiguredServices(now, services);
+        services.push_back(servers_.serviceIndex(profile.name));
+    servers_.setConfiguredServices(now, std::move(services));
+    applyDueClaims(now);
     updateReadiness(now);
 }
 
@@ -78,8 +80,17 @@
 
 void SteeringDecider::apply(Base::TimePoint now, const ServerListed& event)
 {
-    const bool isRestart = servers_.addOrUpdate(now, event.entry, warmUpOf(event.entry.service));
-    restarts_.recordEntry(now, event.entry.number, isRestart);
+    if (claims_.tryAccept(event.entry)) {
+        const bool isRestart = servers_.addOrUpdate(now, event.entry, warmUpOf(event.entry.service));
+        restarts_.recordEntry(now, event.entry.number, isRestart);
+        return;
+    }
+    const auto& inUse = servers_.at(*servers_.find(event.entry.number)).entry;
+    if (options_.onContestedServer)
+        options_.onContestedServer(event.entry, inUse);
+    // What the server's own entry said before no longer holds.
+    if (inUse.id == event.entry.id)
+        servers_.removeEntry(now, event.entry.number);
 }
 
 Base::milliseconds SteeringDecider::warmUpOf(const std::string& service) const
@@ -92,7 +103,17 @@
 
 void SteeringDecider::apply(Base::TimePoint now, const ServerUnlisted& event)
 {
-    servers_.removeEntry(now, event.number);
+    claims_.remove(event.number, event.id);
+    if (claims_.isHolder(event.number, event.id))
+        servers_.removeEntry(now, event.number);
+}
+
+void SteeringDecider::applyDueClaims(Base::TimePoint now)
+{
+    for (auto& entry : claims_.takeDue()) {
+        const bool isRestart = servers_.addOrUpdate(now, entry, warmUpOf(entry.service));
+        restarts_.recordEntry(now, entry.number, isRestart);
+    }
 }
 
 void SteeringDecider::apply(Base::TimePoint, const DomainEvacuation& event)
@@ -155,13 +176,15 @@
 {
     ++statistics_.forwarded;
     return {
-        .kind = VerdictKind::Forward, .server = server.entry.address, .number = server.entry.number, .token = token
+        .kind = VerdictKind::Forward, .server = server.flowAddress(), .number = server.entry.number, .token = token
     };
 }
 
 Verdict SteeringDecider::forwardFirstPacket(const Server& server, const Packet::FlowKey& flow, const FlowRecord& record)
 {
-    return forwardTo(server, FlowToken::tentative(server.entry.number, flow, record.firstSequence));
+    auto verdict = forwardTo(server, FlowToken::tentative(server.entry.number, flow, record.firstSequence));
+    verdict.server = server.entry.address;
+    return verdict;
 }
 
 Verdict SteeringDecider::decide(Base::TimePoint now, const PacketView& packet, std::span<const std::byte> bytes)
@@ -292,6 +315,7 @@
     server.lastHandshakeAt = now;
     server.lastResponseAt = now;
     server.unreachableAt = {};
+    server.confirmAddress(record.firstSeen);
     servers_.confirmEndOfEarlierServers(index);
     reachability_.recordResponse(server.domain);
     admission_.recordOutcome(server.service, true);
@@ -390,6 +414,7 @@
     responseQuality_.expire(now);
     serviceTimes_.update(now);
     servers_.expire(now);
+    applyDueClaims(now);
     restarts_.expire(now);
     for (const auto index : restarts_.serversToProbe())
         stalledFlows_.probe(now, servers_.at(index));
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -17,6 +17,7 @@
 #include <LibSteering/Process/ResponseQuality.h>
 #include <LibSteering/Process/RestartSuspicion.h>
 #include <LibSteering/Process/RestoredRecords.h>
+#include <LibSteering/Process/ServerClaims.h>
 #include <LibSteering/Process/ServerTable.h>
 #include <LibSteering/Process/ServiceTimes.h>
 #include <LibSteering/Process/WarmUpAllowance.h>
@@ -89,6 +90,8 @@
         uint64_t seed { 1 };
         /// Called for each decision about a flow; may be empty.
         std::function<void(const FlowDecision&)> onDecision;
+        /// Called for an entry that is not put to use, since another one has its number; may be empty.
+        std::function<void(const BackendServerEntry&, const BackendServerEntry& inUse)> onContestedServer {};
     };
 
     explicit SteeringDecider(const Options&);
@@ -139,6 +142,7 @@
     const SteeringStatistics& statistics() const { return statistics_; }
     std::size_t flowCount() const { return flows_.size(); }
     std::size_t serverCount() const { return servers_.size(); }
+    std::size_t contestingEntryCount() const { return claims_.size(); }
 
 private:
     using CompiledRoute = RouteTable::CompiledRoute;
@@ -152,6 +156,8 @@
     void apply(Base::TimePoint now, const StoreRestored&);
     void apply(Base::TimePoint now, const StateSynchronized&);
     void apply(Base::TimePoint now, const StoreReachable&);
+    /// Applies the entries that take the place of others with the same number.
+    void applyDueClaims(Base::TimePoint now);
     void updateReadiness(Base::TimePoint now);
     Base::milliseconds warmUpOf(const std::string& service) const;
 
@@ -200,6 +206,7 @@
 
     Options options_;
     ServerTable servers_;
+    ServerClaims claims_;
     RestoredRecords restoredRecords_;
     DomainReachability reachability_;
     WarmUpAllowance allowance_;
--- a/Libraries/LibSteering/Version/Configuration.h
+++ b/Libraries/LibSteering/Version/Configuration.h
@@ -80,6 +80,8 @@
 /// One registered backend server.
 struct BackendServerEntry {
     BackendServerNumber number;
+    /// The id under which it is registered. Ids that differ may have the same number; see ServerClaims.
+    std::string id;
     std::string service;
     Base::Ipv4Endpoint address;
     std::string failureDomain;
--- a/Libraries/LibSteering/Version/RouteTable.cpp
+++ b/Libraries/LibSteering/Version/RouteTable.cpp
@@ -45,6 +45,7 @@
 void RouteTable::replace(const Configuration& configuration, ServerTable& servers)
 {
     routes_.clear();
+    services_.clear();
     for (const auto& route : configuration.routes) {
         CompiledRoute compiled { .traffic = route.traffic, .regions = route.regions };
         for (const auto& share : route.shares) {
@@ -55,8 +56,11 @@
             compiled.services.push_back(service);
             compiled.totalWeight += share.weight;
         }
+        services_.insert(services_.end(), compiled.services.begin(), compiled.services.end());
         routes_[route.endpoint] = std::move(compiled);
     }
+    std::ranges::sort(services_);
+    services_.erase(std::unique(services_.begin(), services_.end()), services_.end());
 }
 
 const RouteTable::CompiledRoute* RouteTable::find(const Base::Ipv4Endpoint& endpoint) const
--- a/Libraries/LibSteering/Version/RouteTable.h
+++ b/Libraries/LibSteering/Version/RouteTable.h
@@ -33,8 +33,11 @@
     void replace(const Configuration&, ServerTable&);
     /// The route of a service address and port, or nullptr.
     const CompiledRoute* find(const Base::Ipv4Endpoint&) const;
+    /// The services of all routes, sorted.
+    const std::vector<ServiceIndex>& services() const { return services_; }
 
 private:
+    std::vector<ServiceIndex> services_;
     boost::unordered_flat_map<Base::Ipv4Endpoint, CompiledRoute, std::hash<Base::Ipv4Endpoint>> routes_;
 };
 
--- a/Tests/LibSteering/TestLaterPackets.cpp
+++ b/Tests/LibSteering/TestLaterPackets.cpp
@@ -111,6 +111,7 @@
         return Steering::BackendServerEntry { .number = { value }, .service = service, .failureDomain = "brum" };
     };
     const auto token = Steering::FlowToken::confirmed({ first });
+    table.setConfiguredServices(now, { table.serviceIndex("rota"), table.serviceIndex("sheets") });
     table.addOrUpdate(now, entry(first, "rota"), {});
     table.addOrUpdate(now, entry(second, "sheets"), {});
     const auto numberOf = [&](const char* service) {
