--- a/StandIns/Soak/FaultInjector.cpp
+++ b/StandIns/Soak/FaultInjector.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <nlohmann/json.hpp>
 
 namespace StandIn {
 
@@ -25,6 +26,9 @@
     constexpr std::size_t originalKindCount = 21;
     /// The same for the kinds of fault without a store that comes back from a copy.
     constexpr uint64_t restoredStoreSeedThreshold = 2000;
+    /// The same for the kinds of fault without entries of other writers.
+    constexpr uint64_t foreignEntriesSeedThreshold = 3000;
+    constexpr uint64_t heartbeatMilliseconds = 1200;
     constexpr milliseconds restoreOutage { 500 };
     constexpr uint64_t rewriteSpreadMilliseconds = 1900;
 
@@ -59,13 +63,16 @@
         Kind { "change routes", &FaultInjector::changeRoutes },
         Kind { "rewrite the configuration repeatedly", &FaultInjector::rewriteConfiguration },
         Kind { "store removes entry VM records", &FaultInjector::removeEntryVmRecords },
-        Kind { "store comes back from a copy", &FaultInjector::restoreStoreCopy } };
-    static_assert(kinds.size() == originalKindCount + 2);
+        Kind { "store comes back from a copy", &FaultInjector::restoreStoreCopy },
+        Kind { "another writer's entry", &FaultInjector::writeForeignEntry } };
+    static_assert(kinds.size() == originalKindCount + 3);
     auto kindCount = kinds.size();
     if (deployment_.seed() < allKindsSeedThreshold)
         kindCount = originalKindCount;
     else if (deployment_.seed() < restoredStoreSeedThreshold)
         kindCount = originalKindCount + 1;
+    else if (deployment_.seed() < foreignEntriesSeedThreshold)
+        kindCount = originalKindCount + 2;
     auto& random = deployment_.random();
     for (auto at = begin; at < end;) {
         const auto& kind = kinds[random.below(kindCount)];
@@ -351,6 +358,33 @@
     }
 }
 
+void FaultInjector::writeForeignEntry(milliseconds duration)
+{
+    auto& random = deployment_.random();
+    auto* server = randomServer("rota");
+    const auto* other = randomServer("rota");
+    if (server == nullptr || other == nullptr)
+        return;
+    const std::array services { "rota", "sheets", "rota-trial" };
+    const auto& id = server->options().id;
+    const std::array keys { "x" + id, id, std::string("i-5c0ffee5") };
+    const auto& key = keys[random.below(keys.size())];
+    const auto address = key == keys.back() ? server->address() : other->address();
+    const auto* service = key == id ? services.back() : services[random.below(services.size())];
+    const nlohmann::json entry { { "service", service }, { "address", address.toString() },
+        { "zone", server->options().zone }, { "version", "v1" }, { "concurrency", 2 }, { "state", "ready" },
+        { "warmup_left_ms", 0 }, { "sequence", 1 }, { "born", 1'700'000'005'000 } };
+    deployment_.records().put("servers/" + key, random.chance(0.2) ? "unreadable" : entry.dump());
+    if (key == id) {
+        after(milliseconds(random.below(heartbeatMilliseconds)), [server] {
+            if (server->isAlive())
+                server->rewriteEntry();
+        });
+        return;
+    }
+    after(duration, [this, key] { deployment_.records().remove("servers/" + key); });
+}
+
 void FaultInjector::evacuateZone(milliseconds duration)
 {
     if (isEvacuating_)
--- a/StandIns/Soak/FaultInjector.h
+++ b/StandIns/Soak/FaultInjector.h
@@ -44,6 +44,9 @@
     void crashServer(Base::milliseconds);
     void reuseAddress(Base::milliseconds);
     void expireServerEntries(Base::milliseconds);
+    /// Another writer says something false about a running server: under a key with the digits of its id, under its
+    /// own id until its next heartbeat, or about its address.
+    void writeForeignEntry(Base::milliseconds);
     void evacuateZone(Base::milliseconds);
     void changeRoutes(Base::milliseconds);
     void rewriteConfiguration(Base::milliseconds);
