LibSteering: Let silence beside a later entry at the address end flows for a second only

Callers' requests on open flows of a live server were reset for as long as an entry with a later start stood at its address, once the server had been silent for a second, as in a cut.

Cause: while a later entry is registered at a server's address, a probe would reach the later one, so that a second of silence counts as the end. That was withdrawn only when the later entry went; responses of the server itself could not show any more, since every request was reset.

Change: what silence alone has shown holds for a second while the server's own entry is there, as a failed probe does. The next request is sent on and judged anew. A handshake of the later server still ends the earlier one's flows for good.

--- a/Libraries/LibSteering/Connection/StalledFlows.cpp
+++ b/Libraries/LibSteering/Connection/StalledFlows.cpp
@@ -106,7 +106,8 @@
                 checks_.push({ check.flow, check.requestSeenAt, now + stallThreshold() });
                 continue;
             }
-            server.isEndShownBySilence |= !server.hasEnded;
+            if (!server.hasEnded)
+                server.endShownBySilenceAt = now;
             server.hasEnded = true;
             resets_.push_back({ .flow = check.flow, .acknowledged = record->acknowledgedAtRequest });
             continue;
--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -119,10 +119,8 @@
             server.supersededAt = now;
         // A server that was only cut off keeps its entry, while that of one that has ended goes.
         const bool isReleased = wasSuperseded && !server.isSuperseded && server.presence == Presence::Listed;
-        if (isReleased && server.isEndShownBySilence) {
-            server.hasEnded = false;
-            server.isEndShownBySilence = false;
-        }
+        if (isReleased && server.endShownBySilenceAt != Base::TimePoint {})
+            server.withdrawEnd();
     }
 }
 
@@ -150,8 +148,7 @@
         auto& earlier = servers_[other];
         if (!earlier.isSuperseded || !supersedes(later, earlier))
             continue;
-        earlier.hasEnded = true;
-        earlier.isEndShownBySilence = false;
+        earlier.recordEndShownByPackets();
     }
 }
 
@@ -204,8 +201,7 @@
         server.suspectUntil = {};
         server.unreachableAt = {};
         server.isSuperseded = false;
-        server.hasEnded = false;
-        server.isEndShownBySilence = false;
+        server.withdrawEnd();
         server.shortResponseShare = 0;
     }
     byNumber_[entry.number] = targetIndex;
@@ -269,6 +265,10 @@
     std::vector<ServerIndex> erasable;
     for (ServerIndex index = 0; index < servers_.size(); ++index) {
         auto& server = servers_[index];
+        const bool isSilenceOld = server.endShownBySilenceAt != Base::TimePoint {}
+            && now - server.endShownBySilenceAt >= Server::silenceValidity;
+        if (isSilenceOld && server.presence != Presence::Retired)
+            server.withdrawEnd();
         if ((server.presence != Presence::Unconfirmed && server.presence != Presence::Retired)
             || now < server.presenceEndsAt)
             continue;
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -69,8 +69,8 @@
     Base::TimePoint supersededAt {};
     /// This server was superseded, and packets have shown that it has ended.
     bool hasEnded { false };
-    /// Nothing but silence has shown so, which a cut causes as well.
-    bool isEndShownBySilence { false };
+    /// When nothing but silence has shown so, which a cut causes as well; the epoch otherwise.
+    Base::TimePoint endShownBySilenceAt {};
     /// When an Unconfirmed server becomes Retired, or a Retired one is erased.
     Base::TimePoint presenceEndsAt {};
     Base::TimePoint coldUntil {};
@@ -113,6 +113,16 @@
     }
     /// Whether the entry alone, of several with this number, says where the server is.
     bool isAddressUnproven() const { return isContested && !confirmedAddress; }
+    void recordEndShownByPackets()
+    {
+        hasEnded = true;
+        endShownBySilenceAt = {};
+    }
+    void withdrawEnd()
+    {
+        hasEnded = false;
+        endShownBySilenceAt = {};
+    }
     /// Whether new flows avoid this server because of a later one at its address.
     bool isReplaced() const
     {
@@ -121,6 +131,8 @@
 
     /// Callers may acknowledge a server's responses for this long after it has ended.
     static constexpr Base::milliseconds delayedResponseTimeout { 1000 };
+    /// A server that has an entry and was silent this long ago may respond again.
+    static constexpr Base::milliseconds silenceValidity { 1000 };
 };
 
 /// All backend servers known to this process, by number, by confirmed token and by service. Indexes stay valid until
--- a/Tests/LibSteering/TestStalledFlows.cpp
+++ b/Tests/LibSteering/TestStalledFlows.cpp
@@ -316,3 +316,36 @@
     listOtherAtAddressOf(1, "rota");
     openFlowAt(1);
 }
+
+// Guards against resets for good after a cut, which looks like the end of a server that a wrong entry supersedes.
+TEST_CASE_METHOD(StalledFlowsFixture, "silence beside a later entry at the address ends flows only while it lasts")
+{
+    openFlowAt(1);
+    const auto caller = lastPort_;
+    listOtherAtAddressOf(1, "rota");
+    REQUIRE(sendData(caller, token(1), 1001, 501).kind == VerdictKind::Forward);
+    for (int round = 0; round < 12; ++round)
+        advance(milliseconds(100));
+    REQUIRE(resets_.size() == 1);
+    CHECK(sendData(500, token(1), 2001, 701).kind == VerdictKind::Reset);
+    for (int round = 0; round < 13; ++round)
+        advance(milliseconds(100));
+    SECTION("the server responds again")
+    {
+        for (uint32_t request = 0; request < 100; ++request) {
+            REQUIRE(sendData(501, token(1), 2001 + 100 * request, 701 + 200 * request).kind == VerdictKind::Forward);
+            advance(milliseconds(20));
+            send(501, token(1), 901 + 200 * request);
+        }
+        CHECK(resets_.size() == 1);
+        openFlowAt(1);
+    }
+    SECTION("the server is still silent")
+    {
+        REQUIRE(sendData(501, token(1), 2001, 701).kind == VerdictKind::Forward);
+        for (int round = 0; round < 12; ++round)
+            advance(milliseconds(100));
+        CHECK(resets_.size() == 2);
+        CHECK(sendData(502, token(1), 2001, 701).kind == VerdictKind::Reset);
+    }
+}
