LibSteering: Try superseded servers again, one first packet at a time

Callers of a service were rejected, or pressed on fewer servers, for as long as a wrong entry with a later start stood at a live server's address.

Cause: new flows avoided a superseded server until it had responded for more than a second. With flows of one request each nothing is open by then, so that it could not respond, and was never tried.

Change: a superseded server is suspect for the time in which responses may be delayed, and is then tried like any silent one: by one first packet at a time, with pauses that double, or at once if there is no other server. Packets carry its number, so that another server at its address ignores them. An end that packets have shown excludes it as before.

--- a/Libraries/LibSteering/Process/ServerTable.cpp
+++ b/Libraries/LibSteering/Process/ServerTable.cpp
@@ -116,7 +116,7 @@
         server.isSuperseded = std::ranges::any_of(
             serversAtAddress, [&](ServerIndex other) { return supersedes(servers_[other], server); });
         if (server.isSuperseded && !wasSuperseded)
-            server.supersededAt = now;
+            server.recordSuperseded(now);
         // A server that was only cut off keeps its entry, while that of one that has ended goes.
         const bool isReleased = wasSuperseded && !server.isSuperseded && server.presence == Presence::Listed;
         if (isReleased && server.endShownBySilenceAt != Base::TimePoint {})
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -2,6 +2,7 @@
 
 #include <LibBase/Time.h>
 #include <LibSteering/Version/Configuration.h>
+#include <algorithm>
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <optional>
 #include <string>
@@ -123,7 +124,15 @@
         hasEnded = false;
         endShownBySilenceAt = {};
     }
-    /// Whether new flows avoid this server because of a later one at its address.
+    /// A later server is registered at its address. New flows avoid this one; when delayed responses are over, one
+    /// first packet at a time tries it.
+    void recordSuperseded(Base::TimePoint now)
+    {
+        supersededAt = now;
+        suspectUntil = std::max(suspectUntil, now + delayedResponseTimeout);
+        consecutiveTimeouts = std::max(consecutiveTimeouts, timeoutsOfSuspect);
+    }
+    /// Whether nothing but the entry of a later server at its address is left to show whether this one runs.
     bool isReplaced() const
     {
         return hasEnded || (isSuperseded && lastResponseAt <= supersededAt + delayedResponseTimeout);
@@ -131,6 +140,8 @@
 
     /// Callers may acknowledge a server's responses for this long after it has ended.
     static constexpr Base::milliseconds delayedResponseTimeout { 1000 };
+    /// From this number of consecutive timeouts on, one first packet at a time is sent.
+    static constexpr uint32_t timeoutsOfSuspect = 2;
     /// A server that has an entry and was silent this long ago may respond again.
     static constexpr Base::milliseconds silenceValidity { 1000 };
 };
--- a/Libraries/LibSteering/Request/ServerChoice.cpp
+++ b/Libraries/LibSteering/Request/ServerChoice.cpp
@@ -80,7 +80,7 @@
 bool ServerChoice::isUsable(const Server& server) const
 {
     const bool isPresent = server.presence == Presence::Listed || server.presence == Presence::Unconfirmed;
-    return isPresent && server.entry.state == ServerState::Ready && !server.isShadowed && !server.isReplaced()
+    return isPresent && server.entry.state == ServerState::Ready && !server.isShadowed && !server.hasEnded
         && !evacuated_.contains(server.domain);
 }
 
--- a/Libraries/LibSteering/SteeringDeciderFirstPackets.cpp
+++ b/Libraries/LibSteering/SteeringDeciderFirstPackets.cpp
@@ -52,7 +52,7 @@
 {
     auto& server = servers_.at(choice.server);
     reachability_.recordAttempt(now, server.domain);
-    if (server.consecutiveTimeouts > 1)
+    if (server.consecutiveTimeouts >= Server::timeoutsOfSuspect)
         server.suspectUntil = std::max(server.suspectUntil, now + probeTimeout);
     FlowProgress::recordAttempt(record, server);
     record.lastAttemptAt = now;
--- a/Tests/LibSteering/TestStalledFlows.cpp
+++ b/Tests/LibSteering/TestStalledFlows.cpp
@@ -349,3 +349,45 @@
         CHECK(sendData(502, token(1), 2001, 701).kind == VerdictKind::Reset);
     }
 }
+
+// Guards against a live server that gets no flow for as long as a wrong entry stands at its address.
+TEST_CASE_METHOD(StalledFlowsFixture, "a server that a wrong entry supersedes is tried again though no flow is open")
+{
+    listOtherAtAddressOf(1, "sheets");
+    configureServices({ "rota", "sheets" });
+    for (uint16_t port = 600; port < 610; ++port)
+        CHECK(sendFirst(port).number == number(2));
+    for (int round = 0; round < 12; ++round)
+        advance(milliseconds(100));
+    openFlowAt(1);
+    for (uint16_t port = 620; port < 630; ++port)
+        openFlow(port);
+    openFlowAt(1);
+}
+
+// Guards against first packets that are lost, one after the other, at a server whose address has another user.
+TEST_CASE_METHOD(StalledFlowsFixture, "one first packet at a time tries a superseded server")
+{
+    listOtherAtAddressOf(1, "sheets");
+    configureServices({ "rota", "sheets" });
+    int attempts = 0;
+    for (uint16_t port = 600; port < 1100; ++port) {
+        const auto first = sendFirst(port);
+        attempts += first.number == number(1) ? 1 : 0;
+        advance(milliseconds(8));
+        if (first.number == number(2))
+            send(port, first.token, 501, true);
+    }
+    // Four seconds: one attempt after the first, then after pauses that double.
+    CHECK(attempts >= 1);
+    CHECK(attempts <= 4);
+}
+
+// Guards against callers that are rejected though a server lives, only because a wrong entry supersedes it.
+TEST_CASE_METHOD(StalledFlowsFixture, "a superseded server is used if there is no other")
+{
+    listOtherAtAddressOf(1, "sheets");
+    configureServices({ "rota", "sheets" });
+    decider_.handle(now_, Steering::ServerUnlisted { .number = number(2) });
+    CHECK(sendFirst(600).number == number(1));
+}
