LibSteering, LibEntry: Replace a watcher whose read of all records is overdue

A dropped route stayed in use for two seconds and more if the connection of a failure domain's watcher fell silent while it read all records, after the store's history was gone: 2,850 ms by the sum of time-outs, 3,350 with the next in rank cut off as well, of 3,000 allowed.

Cause: only watches had a time by which they are overdue. During a read the watcher counted as responding until two calls had failed, and nobody took over. Two further times were in no sum: that after which a silent watcher is replaced, and the pause after a failed call.

Before, the new test of a read does not compile for want of a due time. TestLibSteering and TestLibEntry pass.

--- a/Libraries/LibEntry/StoreThread.cpp
+++ b/Libraries/LibEntry/StoreThread.cpp
@@ -12,10 +12,8 @@
 
 namespace {
 
-    /// Retries back off because rejected calls are charged as well. The maximum is bounded because a configuration has
-    /// to be in force within seconds after the store returns.
+    /// Retries back off because rejected calls are charged as well.
     constexpr Base::milliseconds initialBackoff { 100 };
-    constexpr Base::milliseconds maximumBackoff { 800 };
     constexpr Base::milliseconds idleCheckInterval { 5000 };
     /// The entry VMs that read all records do so within a second, also on narrow links.
     constexpr Base::milliseconds initialPeerTimeout { 1200 };
@@ -78,7 +76,8 @@
         if (readOrWatch() || worker_.isStopping())
             continue;
         const auto doublings = std::min<uint32_t>(responsiveness_.consecutiveFailures(), 5);
-        const auto pause = std::min(maximumBackoff, initialBackoff * (1 << (doublings - 1)));
+        const auto pause
+            = std::min(Steering::DisseminationTimes::longestCallPause, initialBackoff * (1 << (doublings - 1)));
         // Half of the back-off is random, so that entry VMs that lost the store together do not reconnect together.
         const auto jitter = Base::milliseconds(random_.below(static_cast<uint64_t>(pause.count()) + 1) / 2);
         worker_.pause(pause / 2 + jitter);
@@ -132,6 +131,7 @@
 
 bool StoreThread::readNextPage()
 {
+    beginRead();
     const auto after = partialSnapshot_ ? partialSnapshot_->records.back().key : std::string();
     auto page = client_.readPage(Platform::Names::allKeysPrefix, after);
     counters_.count(StoreCall::Read, page.outcome);
@@ -186,6 +186,15 @@
 
 bool StoreThread::isBehindPages() const { return partialSnapshot_ && feed_.position() < partialSnapshot_->end(); }
 
+void StoreThread::beginRead()
+{
+    // Peers don't rely on an entry VM that starts, and many read at once then.
+    if (!feed_.isSynchronized())
+        return;
+    const std::scoped_lock lock(responsivenessMutex_);
+    responsiveness_.beginRead(std::chrono::steady_clock::now());
+}
+
 Base::milliseconds StoreThread::beginWatch()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/Libraries/LibEntry/StoreThread.h
+++ b/Libraries/LibEntry/StoreThread.h
@@ -49,6 +49,8 @@
     bool applySnapshot();
     /// Whether the applied records are older than the pages read so far.
     bool isBehindPages() const;
+    /// Notes that a read begins whose answer becomes overdue.
+    void beginRead();
     /// Returns how long the watch that now begins should wait.
     Base::milliseconds beginWatch();
     bool watch();
--- a/Libraries/LibSteering/Process/StoreResponsiveness.cpp
+++ b/Libraries/LibSteering/Process/StoreResponsiveness.cpp
@@ -25,6 +25,8 @@
     answerDueAt_ = now + wait + DisseminationTimes::answerTolerance;
 }
 
+void StoreResponsiveness::beginRead(Base::TimePoint now) { answerDueAt_ = now + DisseminationTimes::readTolerance; }
+
 void StoreResponsiveness::handleAnswer(Base::TimePoint now)
 {
     // While the store is away, all entry VMs wait for the first that it answers, so that one answer is enough then.
--- a/Libraries/LibSteering/Process/StoreResponsiveness.h
+++ b/Libraries/LibSteering/Process/StoreResponsiveness.h
@@ -14,6 +14,8 @@
 public:
     /// A watch begins that the store answers after the given time at the latest.
     void beginWatch(Base::TimePoint now, Base::milliseconds wait);
+    /// A read of a page of records begins.
+    void beginRead(Base::TimePoint now);
     /// The watch, or another call, was answered.
     void handleAnswer(Base::TimePoint now);
     /// The watch, or another call, failed.
@@ -36,7 +38,7 @@
     bool isOverdue(Base::TimePoint now) const;
 
     bool isAnswered_ { false };
-    /// When the watch in progress has to be answered; the epoch if there is none.
+    /// When the call in progress has to be answered; the epoch if there is none.
     Base::TimePoint answerDueAt_ {};
     Base::TimePoint lastAnswerAt_ {};
     uint32_t failures_ { 0 };
--- a/Libraries/LibSteering/Process/WatcherChoice.cpp
+++ b/Libraries/LibSteering/Process/WatcherChoice.cpp
@@ -1,15 +1,12 @@
 #include <LibSteering/Process/WatcherChoice.h>
 
+#include <LibSteering/Process/DisseminationTimes.h>
 #include <LibSteering/Process/PeerTopology.h>
 
 namespace Steering {
 
 namespace {
 
-    /// Reports are sent every 100 ms in a small failure domain and every 400 ms in the largest, so that at least three
-    /// consecutive ones are missing.
-    constexpr Base::milliseconds watcherReportTimeout { 1200 };
-
     /// By then every running peer has sent its first reports.
     constexpr Base::milliseconds firstReportTimeout { 700 };
 
@@ -18,7 +15,8 @@
 
     bool isReporting(Base::TimePoint now, const PeerLoads::Peer& peer)
     {
-        return peer.lastReportAt != Base::TimePoint {} && now - peer.lastReportAt <= watcherReportTimeout;
+        return peer.lastReportAt != Base::TimePoint {}
+        && now - peer.lastReportAt <= DisseminationTimes::watcherReportTimeout;
     }
 
 }
--- a/Tests/LibSteering/TestDisseminationTimes.cpp
+++ b/Tests/LibSteering/TestDisseminationTimes.cpp
@@ -1,5 +1,6 @@
 #include "SimulatedEntryVms.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace Times = Steering::DisseminationTimes;
@@ -7,8 +8,12 @@
 
 namespace {
 
-/// The smallest time of any deployment in which a change has to be in force, from the store's acknowledgement.
-constexpr milliseconds inForce { 3000 };
+/// The smallest times of any deployment in which a change has to be in force, from the store's acknowledgement. All
+/// kinds of records pass the same way.
+constexpr milliseconds configurationBound { 3000 };
+constexpr milliseconds drainingBound { 3000 };
+constexpr milliseconds evacuationBound { 5000 };
+constexpr milliseconds inForce = std::min({ configurationBound, drainingBound, evacuationBound });
 constexpr milliseconds margin { 500 };
 
 /// Allowances for steps without a constant of their own, on an entry VM that waits for its CPU quota.
@@ -19,6 +24,9 @@
 /// A change of the store's view or of the revision is reported at once; if that report is lost, by the next.
 constexpr milliseconds report = Times::nearReportInterval;
 constexpr milliseconds relay = report + relayAnswer + apply;
+/// A watcher that takes over learns that the history is gone, and reads all records in pages.
+constexpr milliseconds completeRead = 3 * storeAnswer;
+constexpr milliseconds lostRead = Times::readTolerance + Times::roleCheckInterval;
 constexpr milliseconds lostWatch = Times::watchTimeout + Times::answerTolerance + Times::roleCheckInterval;
 
 /// The latest time from an acknowledgement until all of the given entry VMs know the change.
@@ -61,6 +69,27 @@
     CHECK(lostWatch + report + storeAnswer + relay <= inForce - margin);
 }
 
+// Guards against the time that two failed reads take before another entry VM watches.
+TEST_CASE("a lost read of all records is replaced and a change relayed within the bound")
+{
+    CHECK(lostRead + report + completeRead + relay <= inForce - margin);
+    // The connection may fall silent between a watch and the read that follows on it.
+    CHECK(lostWatch + report + completeRead + relay <= inForce - margin);
+}
+
+// Guards against a change that waits for entry VMs that pause between failed calls while the store comes back.
+TEST_CASE("a change is relayed within the bound after an outage, also if the store's era has risen")
+{
+    CHECK(Times::longestCallPause + storeAnswer + completeRead + relay <= inForce - margin);
+}
+
+// Guards against a watcher that ends or is cut off from its peers, and that no sum of times covers.
+TEST_CASE("a watcher that no longer reports is replaced and a change relayed within the bound")
+{
+    CHECK(Times::watcherReportTimeout + Times::roleCheckInterval + storeAnswer + relay <= inForce - margin);
+    CHECK(Times::watcherReportTimeout + Times::roleCheckInterval + completeRead + relay <= inForce - margin);
+}
+
 TEST_CASE("a change is relayed within the bound though the next in rank cannot reach the store either")
 {
     constexpr auto secondWatch = Times::firstWatchTimeout + Times::answerTolerance + Times::roleCheckInterval;
--- a/Tests/LibSteering/TestStoreResponsiveness.cpp
+++ b/Tests/LibSteering/TestStoreResponsiveness.cpp
@@ -34,6 +34,25 @@
     CHECK_FALSE(responsiveness.isAway());
 }
 
+// Guards against a watcher that counts as responding while it waits for all records from a silent connection.
+TEST_CASE("a read of records that is not answered in time is overdue, and so is a repeated one")
+{
+    auto responsiveness = responding();
+    responsiveness.beginRead(start);
+    CHECK(responsiveness.view(start + Times::readTolerance) == StoreView::Responding);
+    const auto overdueAt = start + Times::readTolerance + milliseconds(1);
+    CHECK(responsiveness.view(overdueAt) == StoreView::Overdue);
+    responsiveness.handleFailure(overdueAt);
+    responsiveness.beginRead(overdueAt);
+    CHECK(responsiveness.view(overdueAt) == StoreView::Overdue);
+    // As after an overdue watch, two answers in time end that.
+    responsiveness.handleAnswer(overdueAt + milliseconds(10));
+    CHECK(responsiveness.view(overdueAt + milliseconds(10)) == StoreView::Overdue);
+    responsiveness.beginRead(overdueAt + milliseconds(10));
+    responsiveness.handleAnswer(overdueAt + milliseconds(20));
+    CHECK(responsiveness.view(overdueAt + milliseconds(20)) == StoreView::Responding);
+}
+
 TEST_CASE("the store is away after two failed calls, and back after one answer")
 {
     auto responsiveness = responding();
