LibSteering, LibEntry: Tell peers callers' choices before flows move as planned

Cause: a flow that was offered to two servers may carry the tentative token of the one that was not chosen. Only the entry VM that saw the handshake knows the choice; every other one drops the packet (unconfirmed_token), also the one that comes back.

Change: while an entry VM leaves, or for two seconds after a report target was listed, load reports carry the server of each flow that was offered to several in the last 25 s, under a hash of flow and token (18 B each, at most 1,000). Peers keep and pass on choices for a flow's lifetime, and send packets with the token there. The token depends on the first sequence number, so that later flows with the same ports are not concerned. A reset would have broken FLOW; no message is sent for flows that do not move as planned.

TestLibSteering passes.

--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -432,7 +432,8 @@
         .loads = decider_.ownLoads(),
         .demands = decider_.ownDemands(),
         .speeds = decider_.takeReportedSpeeds(),
-        .possiblyRestarted = decider_.possiblyRestarted(now) });
+        .possiblyRestarted = decider_.possiblyRestarted(now),
+        .choices = decider_.choicesToTell(now) });
     reportedPosition_ = position;
     reportedView_ = view;
     const auto code = authenticator_.sign(body);
