LibSteering: Forget an entry that was gone when another one took its number

Cause: the entry that another one replaces is kept, so that it can come back. It was kept also if the store had removed it, and would have been used again, since no further removal follows (found in reading the change).

Change: only entries that are in the store are kept. Contested numbers are noted after an entry was put to use, too.

--- a/Libraries/LibEntry/Events.h
+++ b/Libraries/LibEntry/Events.h
@@ -104,7 +104,7 @@
     "A configuration is older than the one in force, which stays; a store that came back from a copy shows such ones."
 };
 inline constexpr Event serverContested { 5043, "backend_server_contested", Level::Warning,
-    "A backend server's entry is not used: another one has its number, or its service does not exist.",
+    "A backend server's entry is not used: another one has its number, or no configuration names its service.",
     serverLinesPerSecond };
 
 /// All events of entryd, in the order of their numbers.
--- a/Libraries/LibSteering/Process/ServerClaims.cpp
+++ b/Libraries/LibSteering/Process/ServerClaims.cpp
@@ -36,12 +36,19 @@
     const bool isAccepted = isSameService || isUnused || outranks(entry, holder);
     if (!isAccepted)
         claims_[keyOf(entry)] = entry;
-    else if (holder.entry.id != entry.id)
-        claims_[keyOf(holder.entry)] = holder.entry;
+    else
+        keepHolder(holder, entry);
     updateContested(entry.number);
     return isAccepted;
 }
 
+void ServerClaims::keepHolder(const Server& holder, const BackendServerEntry& successor)
+{
+    // An entry that the store no longer has must not come back.
+    if (holder.entry.id != successor.id && holder.presence == Presence::Listed)
+        claims_[keyOf(holder.entry)] = holder.entry;
+}
+
 void ServerClaims::remove(BackendServerNumber number, const std::string& id)
 {
     claims_.erase({ number, id });
@@ -68,11 +75,8 @@
     }
     for (const auto& entry : due) {
         claims_.erase(keyOf(entry));
-        const auto index = servers_.find(entry.number);
-        const bool isReplaced = index && servers_.at(*index).entry.id != entry.id;
-        if (isReplaced && servers_.at(*index).presence != Presence::Retired)
-            claims_[keyOf(servers_.at(*index).entry)] = servers_.at(*index).entry;
-        updateContested(entry.number);
+        if (const auto index = servers_.find(entry.number))
+            keepHolder(servers_.at(*index), entry);
     }
     return due;
 }
--- a/Libraries/LibSteering/Process/ServerClaims.h
+++ b/Libraries/LibSteering/Process/ServerClaims.h
@@ -27,6 +27,8 @@
     /// Removes and returns the entries that are to be used from now on, at most one for each number. Called every
     /// 250 ms and when the configured services have changed.
     std::vector<BackendServerEntry> takeDue();
+    /// Notes at the number's server whether other entries claim it. Called after one of them was put to use.
+    void updateContested(BackendServerNumber);
     /// Entries that are not in use.
     std::size_t size() const { return claims_.size(); }
 
@@ -41,7 +43,8 @@
     {
         return servers_.isConfigured(servers_.serviceIndex(entry.service));
     }
-    void updateContested(BackendServerNumber);
+    /// Keeps the entry in use, which another one is about to replace.
+    void keepHolder(const Server& holder, const BackendServerEntry& successor);
 
     ServerTable& servers_;
     std::map<Key, BackendServerEntry> claims_;
--- a/Libraries/LibSteering/Process/ServerTable.h
+++ b/Libraries/LibSteering/Process/ServerTable.h
@@ -132,7 +132,8 @@
         suspectUntil = std::max(suspectUntil, now + delayedResponseTimeout);
         consecutiveTimeouts = std::max(consecutiveTimeouts, timeoutsOfSuspect);
     }
-    /// Whether nothing but the entry of a later server at its address is left to show whether this one runs.
+    /// Whether a later server is registered at its address, and this one has not responded since delayed responses are
+    /// over.
     bool isReplaced() const
     {
         return hasEnded || (isSuperseded && lastResponseAt <= supersededAt + delayedResponseTimeout);
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -117,6 +117,7 @@
     for (auto& entry : claims_.takeDue()) {
         const bool isRestart = servers_.addOrUpdate(now, entry, warmUpOf(entry.service));
         restarts_.recordEntry(now, entry.number, isRestart);
+        claims_.updateContested(entry.number);
     }
 }
 
--- a/Tests/LibSteering/TestServerClaims.cpp
+++ b/Tests/LibSteering/TestServerClaims.cpp
@@ -185,9 +185,39 @@
     CHECK(sendFirst(2).server == otherAddress);
 }
 
-TEST_CASE_METHOD(ServerClaimsFixture, "an entry of a service that operators configure later is used from then on")
+// Guards against an entry that comes back after the store has removed it.
+TEST_CASE_METHOD(ServerClaimsFixture, "an entry that is gone is not kept when another one takes its place")
+{
+    list(entry(otherId, otherAddress, "rota-trial"));
+    unlist(otherId);
+    list(entry(ownId, ownAddress));
+    CHECK(decider_.contestingEntryCount() == 0);
+    list(entry(otherId, otherAddress));
+    CHECK(decider_.contestingEntryCount() == 1);
+    unlist(otherId);
+    CHECK(decider_.contestingEntryCount() == 0);
+    unlist(ownId);
+    CHECK(decider_.contestingEntryCount() == 0);
+}
+
+// Guards against a live server that stays unused because an entry that names no server to use was read first.
+TEST_CASE_METHOD(ServerClaimsFixture, "a configured entry takes the number from one of an unnamed service")
 {
     list(entry(otherId, otherAddress, "rota-trial"));
     list(entry(ownId, ownAddress));
     CHECK(sendFirst(1).server == ownAddress);
 }
+
+// Guards against an entry that is forgotten because it was written before operators configured its service.
+TEST_CASE_METHOD(ServerClaimsFixture, "an entry under a server's own id is used once operators configure its service")
+{
+    list(entry(ownId, ownAddress));
+    list(entry(ownId, otherAddress, "rota-trial"));
+    CHECK(sendFirst(1).kind == VerdictKind::Reset);
+    auto configuration = std::make_shared<Steering::Configuration>();
+    configuration->version = 11;
+    configuration->routes.push_back(
+        { .name = "route", .endpoint = service(443), .shares = { { .service = "rota-trial", .weight = 1 } } });
+    decider_.handle(now_, Steering::ConfigurationChanged { .configuration = configuration });
+    CHECK(sendFirst(2).server == otherAddress);
+}
