--- a/Tests/LibSteering/TestDisseminationTimes.cpp
+++ b/Tests/LibSteering/TestDisseminationTimes.cpp
@@ -64,6 +64,7 @@
 
 }
 
+// Guards against constants whose sum lets a dropped route stay in use for longer than the bound.
 TEST_CASE("a lost watch is replaced and a change relayed within the bound")
 {
     CHECK(lostWatch + report + storeAnswer + relay <= inForce - margin);
@@ -112,6 +113,7 @@
         <= inForce - margin);
 }
 
+// Guards against a watcher that is cut off silently and counts as responding.
 TEST_CASE("entry VMs in touch know a change in time while the watchers of all failure domains are cut off silently")
 {
     for (uint64_t seed = 1; seed <= 20; ++seed) {
--- a/Tests/LibSteering/TestFlowTokenSchedules.cpp
+++ b/Tests/LibSteering/TestFlowTokenSchedules.cpp
@@ -310,6 +310,7 @@
 
 }
 
+// Guards against the same in any order of attempts, late handshakes, stops and changes of path.
 TEST_CASE("no packet of a flow is forwarded to a server that its caller did not choose")
 {
     constexpr uint64_t seeds = 100;
--- a/Tests/LibSteering/TestFlowTokens.cpp
+++ b/Tests/LibSteering/TestFlowTokens.cpp
@@ -67,6 +67,7 @@
 
 }
 
+// Guards against open flows that a planned stop sends to a server which the caller did not choose.
 TEST_CASE("a late handshake of a hedged flow's other server does not move the flow when the entry VM is gone")
 {
     EntryVm hedging;
--- a/Tests/LibSteering/TestStalledFlows.cpp
+++ b/Tests/LibSteering/TestStalledFlows.cpp
@@ -231,6 +231,7 @@
     CHECK(sendData(caller, token(1), 1001, 501).kind == VerdictKind::Reset);
 }
 
+// Guards against resets of a live server's open flows because of an entry of a service that does not exist.
 TEST_CASE_METHOD(
     StalledFlowsFixture, "an entry of a service that no configuration names says nothing about other servers")
 {
@@ -247,6 +248,7 @@
     CHECK(sendFirst(600).number == number(2));
 }
 
+// Guards against the same because of a wrong entry of a service that exists.
 TEST_CASE_METHOD(StalledFlowsFixture, "a wrong entry of a configured service ends no flow of a live server")
 {
     openFlowAt(1);
@@ -262,6 +264,7 @@
     openFlowAt(1);
 }
 
+// Guards against a server that stays unused after the entry that spoke against it is gone.
 TEST_CASE_METHOD(StalledFlowsFixture, "a server is used again once the later entry at its address is gone")
 {
     listOtherAtAddressOf(1, "rota");
@@ -303,6 +306,7 @@
     }
 }
 
+// Guards against a live server that each update of a wrong entry hides from new flows.
 TEST_CASE_METHOD(StalledFlowsFixture, "an update of a wrong entry does not hide a live server again")
 {
     openFlowAt(1);
