Revert "LibSteering, LibEntry: Tell peers callers' choices before flows move as planned"

Up to 18 kB in each report to each peer, several times a second, is too much while many peers start or room is short. Requests whose caller carries another server's token after a planned stop wait until their deadline again.

--- a/Libraries/LibEntry/PacketThread.cpp
+++ b/Libraries/LibEntry/PacketThread.cpp
@@ -432,8 +432,7 @@
         .loads = decider_.ownLoads(),
         .demands = decider_.ownDemands(),
         .speeds = decider_.takeReportedSpeeds(),
-        .possiblyRestarted = decider_.possiblyRestarted(now),
-        .choices = decider_.choicesToTell(now) });
+        .possiblyRestarted = decider_.possiblyRestarted(now) });
     reportedPosition_ = position;
     reportedView_ = view;
     const auto code = authenticator_.sign(body);
--- a/Libraries/LibSteering/Connection/FlowTable.h
+++ b/Libraries/LibSteering/Connection/FlowTable.h
@@ -83,13 +83,6 @@
     /// Calls keep for each record whose check is due, and erases the record if it returns false.
     void runDueChecks(Base::TimePoint now, const std::function<bool(const Packet::FlowKey&, FlowRecord&)>& keep);
     std::size_t size() const { return records_.size(); }
-    /// Calls function(flow, record) for each record.
-    template <typename Function>
-    void forEach(Function&& function) const
-    {
-        for (const auto& [flow, record] : records_)
-            function(flow, record);
-    }
 
 private:
     struct Check {
--- a/Libraries/LibSteering/Process/LoadReport.cpp
+++ b/Libraries/LibSteering/Process/LoadReport.cpp
@@ -18,7 +18,6 @@
     constexpr std::size_t speedsField = 7;
     constexpr std::size_t restartsField = 8;
     constexpr std::size_t eraField = 9;
-    constexpr std::size_t choicesField = 10;
     /// More requests in flight than any server can handle; a report with a larger count is malformed.
     constexpr uint64_t maximumInFlight = 100'000;
 
@@ -64,9 +63,7 @@
         if (!isUnsigned(value[eraField]))
             return Base::makeError(ErrorCode::Malformed, "expected the store's era");
         report.position.era = value[eraField].get<uint64_t>();
-        return readPairs(value, choicesField, std::numeric_limits<uint64_t>::max(), [&](uint64_t key, uint64_t server) {
-            report.choices.push_back({ key, { server } });
-        });
+        return {};
     }
 
 }
@@ -95,14 +92,8 @@
     auto fields = Json::array(
         { report.sender.value, report.sequence, report.position.revision, static_cast<uint64_t>(report.store),
             std::move(numbers), std::move(counts), std::move(demands), std::move(speeds), std::move(restarts) });
-    auto choices = Json::array();
-    for (const auto& choice : report.choices) {
-        choices.push_back(choice.key);
-        choices.push_back(choice.server.value);
-    }
-    if (report.position.era != 0 || !choices.empty())
+    if (report.position.era != 0)
         fields.push_back(report.position.era);
-    fields.push_back(std::move(choices));
     // Earlier releases reject reports with further fields, and would take this entry VM for silent.
     while (fields.size() > minimumFieldCount && fields.back().is_array() && fields.back().empty())
         fields.erase(fields.size() - 1);
--- a/Libraries/LibSteering/Process/LoadReport.h
+++ b/Libraries/LibSteering/Process/LoadReport.h
@@ -44,13 +44,6 @@
     uint32_t relativeThousandths { 1000 };
 };
 
-/// Which server a flow is open at whose packets may carry the tentative token of another one; see FlowChoices.
-struct FlowChoice {
-    /// A hash of the flow and the tentative token, the same on every node.
-    uint64_t key { 0 };
-    BackendServerNumber server;
-};
-
 /// Whether the store responds to the sender of a report.
 enum class StoreView : uint8_t {
     /// The sender does not watch the store itself.
@@ -77,8 +70,6 @@
     std::vector<ServerSpeed> speeds;
     /// Servers that went silent while the store could not tell whether they started again.
     std::vector<BackendServerNumber> possiblyRestarted;
-    /// Told while the sender leaves or a peer starts, since flows move then.
-    std::vector<FlowChoice> choices {};
 };
 
 /// Encodes the report as msgpack.
--- a/Libraries/LibSteering/SteeringDecider.cpp
+++ b/Libraries/LibSteering/SteeringDecider.cpp
@@ -14,9 +14,6 @@
     constexpr Base::milliseconds inFlightTimeout { 2000 };
     constexpr Base::milliseconds expiryInterval { 250 };
 
-    /// From its registration until callers are sent to it, an entry VM receives several reports of each peer.
-    constexpr Base::milliseconds peerStartDuration { 2000 };
-
 }
 
 SteeringDecider::SteeringDecider(const Options& options)
@@ -42,7 +39,6 @@
           { .hasPlace = [this](Base::TimePoint now, const Server& server) { return admission_.hasRoom(now, server); } },
           servers_, choice_)
     , flows_({ .maximumFlows = options.maximumFlows })
-    , choices_({ .retention = options.flowLifetime })
     , tokens_(servers_)
     , responseQuality_({}, servers_)
     , serviceTimes_({}, servers_)
@@ -131,10 +127,8 @@
     if (event.peer == options_.self)
         return;
     peerLoads_.addOrUpdate(now, event);
-    if (std::ranges::find(peerIds_, event.peer) == peerIds_.end()) {
+    if (std::ranges::find(peerIds_, event.peer) == peerIds_.end())
         peerIds_.push_back(event.peer);
-        startingPeers_.emplace_back(event.peer, now + peerStartDuration);
-    }
     isTopologyOutdated_ = true;
 }
 
@@ -206,8 +200,6 @@
 
 bool SteeringDecider::acceptReport(Base::TimePoint now, const LoadReport& report)
 {
-    // A node that leaves may no longer be listed.
-    choices_.accept(now, report.choices);
     const auto peer = peerLoads_.peers().find(report.sender);
     const bool wasUnreachable = peer != peerLoads_.peers().end() && now - peer->second.lastReportAt > peerReportTimeout;
     if (!peerLoads_.accept(now, report))
@@ -223,24 +215,15 @@
     return true;
 }
 
-std::optional<ServerIndex> SteeringDecider::adoptedServerOf(
-    Base::TimePoint now, const PacketView& packet, const CompiledRoute& route) const
-{
-    if (!packet.token.isTentative())
-        return servers_.resolve(packet.token, route.services);
-    const auto choice = choices_.find(now, packet.flow, packet.token);
-    return choice ? servers_.find(*choice) : std::nullopt;
-}
-
 FlowRecord* SteeringDecider::recordFor(Base::TimePoint now, const PacketView& packet, const CompiledRoute& route)
 {
     auto* record = flows_.find(packet.flow);
     const bool isRequest = packet.dataBytes > 0 && !packet.ends && !packet.resets;
     if (record != nullptr ? !record->isAdopted : !isRequest)
         return record;
-    if (record != nullptr && packet.token.isTentative())
+    if (packet.token.isTentative())
         return record;
-    const auto index = adoptedServerOf(now, packet, route);
+    const auto index = servers_.resolve(packet.token, route.services);
     if (!index || (record != nullptr && record->server == servers_.at(*index).entry.number))
         return index ? record : nullptr;
     // Only the node that saw the handshake knows which server the caller accepted; here the latest confirmed token
@@ -444,8 +427,6 @@
     // In a partitioned domain only part of the entry VMs report here.
     readiness_.setOutnumbered(now, topology_.cellCount() == 1 && presence_.isOutnumbered(now, peerLoads_.peers()));
     allowance_.expire(now);
-    choices_.expire(now);
-    std::erase_if(startingPeers_, [&](const auto& starting) { return now >= starting.second; });
     admission_.refresh(now);
     return dueAttempts;
 }
@@ -457,19 +438,6 @@
             { nextExpiry_, stalledFlows_.nextCheck(), hedges_.nextDue(totalStallTime_), admission_.nextDeadline() }));
 }
 
-std::vector<FlowChoice> SteeringDecider::choicesToTell(Base::TimePoint now) const
-{
-    const auto isTarget = [&](const auto& starting) {
-        return now < starting.second
-            && (std::ranges::find(topology_.ownDomainTargets(), starting.first) != topology_.ownDomainTargets().end()
-                || std::ranges::find(topology_.otherDomainTargets(), starting.first)
-                    != topology_.otherDomainTargets().end());
-    };
-    if (!isStopping_ && std::ranges::none_of(startingPeers_, isTarget))
-        return {};
-    return choices_.known(now, flows_);
-}
-
 std::vector<ServerLoad> SteeringDecider::ownLoads()
 {
     std::vector<ServerLoad> loads;
--- a/Libraries/LibSteering/SteeringDecider.h
+++ b/Libraries/LibSteering/SteeringDecider.h
@@ -4,7 +4,6 @@
 /// connection attempt is made at a further backend server, and whether callers should be sent here at all. Uses no
 /// clock, socket or thread: time is passed in with each event, actions are returned. Must be used by one thread.
 
-#include <LibSteering/Connection/FlowChoices.h>
 #include <LibSteering/Connection/FlowProgress.h>
 #include <LibSteering/Connection/FlowTable.h>
 #include <LibSteering/Connection/StalledFlows.h>
@@ -30,8 +29,6 @@
 #include <array>
 #include <functional>
 #include <map>
-#include <utility>
-#include <vector>
 
 namespace Steering {
 
@@ -126,8 +123,6 @@
     std::vector<BackendServerNumber> possiblyRestarted(Base::TimePoint now) { return restarts_.ownSuspects(now); }
     /// Increases with each further one.
     uint64_t restartSuspicionCount() const { return restarts_.suspicionCount(); }
-    /// What peers have to know of flows that may move to them; empty while none is expected to move.
-    std::vector<FlowChoice> choicesToTell(Base::TimePoint now) const;
     /// The room that this node needs at services whose room is short.
     std::vector<ServiceDemand> ownDemands() const { return admission_.demands(); }
     const FirstPacketAdmission& admission() const { return admission_; }
@@ -139,11 +134,7 @@
 
     /// Whether a configuration and all other records of the store have been received.
     bool isComplete() const { return isSynchronized_ && configuration_ != nullptr; }
-    void stop()
-    {
-        isStopping_ = true;
-        readiness_.setStopping();
-    }
+    void stop() { readiness_.setStopping(); }
     bool isReady(Base::TimePoint now) const { return readiness_.isReady(now); }
     bool isIsolated(Base::TimePoint now) const { return readiness_.isIsolated(now); }
     bool isOutnumbered() const { return readiness_.isOutnumbered(); }
@@ -173,10 +164,8 @@
     Verdict decideFirstPacket(
         Base::TimePoint now, const PacketView&, const CompiledRoute&, std::span<const std::byte> bytes);
     /// The record of a later packet's flow. Creates one if the packet carries a request of a flow that another node
-    /// opened and its server is known; returns nullptr if there is none.
+    /// opened and its token is confirmed; returns nullptr if there is none.
     FlowRecord* recordFor(Base::TimePoint now, const PacketView&, const CompiledRoute&);
-    /// The server of a flow without a record here, from its packet's token.
-    std::optional<ServerIndex> adoptedServerOf(Base::TimePoint now, const PacketView&, const CompiledRoute&) const;
     Verdict decideLaterPacket(Base::TimePoint now, const PacketView&, const CompiledRoute&);
     void completeHandshake(Base::TimePoint now, FlowRecord&, const PacketView&, ServerIndex);
     /// Updates the state of an open or ended flow from a packet of its caller.
@@ -232,7 +221,6 @@
     std::vector<FlowReset> rejected_;
     ShareChoice shareChoice_;
     FlowTable flows_;
-    FlowChoices choices_;
     TokenResolver tokens_;
     ResponseQuality responseQuality_;
     ServiceTimes serviceTimes_;
@@ -241,12 +229,9 @@
     RestartSuspicion restarts_;
     Readiness readiness_;
     bool isSynchronized_ { false };
-    bool isStopping_ { false };
     std::shared_ptr<const Configuration> configuration_;
     RouteTable routes_;
     std::vector<Base::EntryVmId> peerIds_;
-    /// Peers that were listed a moment ago, and until when this is so.
-    std::vector<std::pair<Base::EntryVmId, Base::TimePoint>> startingPeers_;
     HedgeQueue hedges_;
     Base::nanoseconds totalStallTime_ { 0 };
     Base::TimePoint nextExpiry_ {};
